--- /dev/null
+++ b/stepsail/__init__.py
@@ -0,0 +1,1 @@
+"""stepsail: a transaction router and release judge."""
--- /dev/null
+++ b/stepsail/adapter/host.py
@@ -0,0 +1,255 @@
+"""Instances, timers and ids: hands each decoded field to its umpire, and writes what the umpire asks."""
+
+from __future__ import annotations
+
+import sys
+import traceback
+from collections.abc import Callable
+from typing import Any, BinaryIO, cast
+
+from stepsail.adapter import frames
+from stepsail.adapter.frames import Frame, Malformed, Reply
+from stepsail.interface import (
+    MakeUmpire,
+    Outcome,
+    Phase,
+    Receipt,
+    ServerHandle,
+    TransactionHandle,
+    UmpireHandle,
+    Verdict,
+)
+
+EVERYONE = 0xFFFF
+FULL, CACHED, FAILED = 1, 3, 4
+
+
+class Instance:
+    """One running umpire with the ids that the wire knows its objects by."""
+
+    def __init__(self, who: int, clock: float, reply: Reply) -> None:
+        self.who, self.clock, self.reply = who, clock, reply
+        self.umpire: UmpireHandle = cast(UmpireHandle, None)
+        self.transactions: dict[int, TransactionHandle] = {}
+        self.servers: dict[bytes, ServerHandle] = {}
+        self.timers: dict[int, Callable[[], None]] = {}
+        self.timers_set = 0
+
+    def relay(self, transaction: TransactionHandle, server: ServerHandle, until: float) -> None:
+        self.reply.add(frames.PLACE, 16, self.who, transaction.number, server.address, until * 1000.0)
+
+    def withdraw(self, transaction: TransactionHandle, relay: int) -> None:
+        self.reply.add(frames.WITHDRAW, 19, self.who, transaction.number, relay)
+
+    def deny(self, transaction: TransactionHandle, stay_away: float) -> None:
+        self.reply.add(frames.BUSY, 17, self.who, transaction.number, stay_away * 1000.0)
+
+    def error(self, transaction: TransactionHandle) -> None:
+        self.reply.add(frames.GIVE_UP, 18, self.who, transaction.number)
+
+    def wake(self, after: float, call: Callable[[], None]) -> None:
+        self.timers_set += 1
+        self.timers[self.timers_set] = call
+        self.reply.add(frames.DEFER, 20, self.who, after * 1000.0, self.timers_set)
+
+    def vote(self, build: int, stage: int, verdict: Verdict) -> None:
+        self.reply.add(frames.BALLOT, 28, self.who, build, stage, verdict)
+
+    def probe(self, server: ServerHandle) -> None:
+        self.reply.add(frames.SAMPLE, 21, self.who, server.address)
+
+    def ask_roster(self) -> None:
+        self.reply.add(frames.READ_LIST, 27, self.who)
+
+    def watch_roster(self) -> None:
+        self.reply.add(frames.KEEP_INFORMED, 26, self.who, 1)
+
+    def tell_neighbours(self, text: bytes) -> None:
+        self.reply.add(frames.PUBLISH, 23, self.who, EVERYONE, len(text), tail=text)
+
+    def note(self, text: str) -> None:
+        tail = text.encode()[:frames.TEXT_MOST]
+        self.reply.add(frames.SAY, 24, self.who, len(tail), tail=tail)
+
+    def server(self, address: bytes) -> ServerHandle:
+        found = self.servers.get(address)
+        if found is None:
+            found = self.servers[address] = self.umpire.meet(address)
+        return found
+
+    def drop_if_finished(self, transaction: TransactionHandle) -> None:
+        if transaction.finished:
+            self.transactions.pop(transaction.number, None)
+
+
+class Process:
+    """All instances of this process, and the numbered lists that they share."""
+
+    def __init__(self, make: MakeUmpire) -> None:
+        self.make = make
+        self.instances: dict[int, Instance] = {}
+        self.pages: dict[int, list[tuple[Any, ...]]] = {}
+        self.frame = Frame(b"", 0.0)
+        self.reply = Reply()
+        self.readers: dict[int, Callable[[], None]] = {
+            16: self.bell, 17: self.rollout_state, 18: self.power_on, 19: self.neighbour_says,
+            20: self.discovery, 21: self.withdrawn, 22: self.metrics, 23: self.completed, 24: self.contested,
+            25: self.call, 26: self.register, 27: self.killed, 28: self.started, 29: self.echo}
+
+    def batch(self, frame: Frame) -> bytes:
+        self.frame, self.reply = frame, Reply()
+        while (code := frame.code()) is not None:
+            reader = self.readers.get(code)
+            if reader is None:
+                raise Malformed(f"unknown event code {code} at byte {frame.place - 1}")
+            reader()
+        return self.reply.frame()
+
+    def instance(self, who: int) -> Instance | None:
+        found = self.instances.get(who)
+        if found is not None:
+            found.clock, found.reply = self.frame.clock, self.reply
+        return found
+
+    def guarded(self, who: int, call: Callable[[], None]) -> None:
+        """An exception in the module becomes the fault action; the traceback goes to standard error."""
+        try:
+            call()
+        except Exception as trouble:
+            traceback.print_exc(file=sys.stderr)
+            tail = f"{type(trouble).__name__}: {trouble}".encode()[:frames.TEXT_MOST]
+            self.reply.add(frames.SAY, 25, who, len(tail), tail=tail)
+
+    def power_on(self) -> None:
+        who, seed, size = self.frame.fields(frames.POWER_ON)
+        text = self.frame.blob(size).decode()
+        found = self.instances[who] = Instance(who, self.frame.clock, self.reply)
+
+        def start() -> None:
+            found.umpire = self.make(frames.read_charter(text), found, seed)
+        self.guarded(who, start)
+
+    def killed(self) -> None:
+        (who,) = self.frame.fields(frames.KILLED)
+        self.instances.pop(who, None)
+
+    def register(self) -> None:
+        page, count = self.frame.fields(frames.REGISTER)
+        body = self.frame.blob(count * frames.ENTRY.size)
+        self.pages[page] = list(frames.ENTRY.iter_unpack(body))
+
+    def discovery(self) -> None:
+        who, scope, _, page = self.frame.fields(frames.DISCOVERY)
+        found = self.instance(who)
+        if found is None:
+            return
+        if scope == FAILED:
+            self.guarded(who, found.umpire.roster_failed)
+            return
+
+        def read() -> None:
+            for address, zone, _, cell, build, state, size, since in self.pages.get(page, []):
+                found.server(address).listed(zone, cell, int(build), state, since / 1000.0, size)
+            found.umpire.roster_read(scope in (FULL, CACHED), scope == CACHED)
+        self.guarded(who, read)
+
+    def call(self) -> None:
+        who, number, tenant, product, effort, until, key, bits = self.frame.fields(frames.CALL)
+        found = self.instance(who)
+        if found is None:
+            return
+
+        def take() -> None:
+            transaction = found.umpire.take(number, product, tenant, effort / 1000.0 if bits & 1 else None,
+                                            until / 1000.0, key)
+            found.transactions[number] = transaction
+            found.drop_if_finished(transaction)
+        self.guarded(who, take)
+
+    def completed(self) -> None:
+        who, number, ending, final, trial, took, _, count = self.frame.fields(frames.COMPLETED)
+        report = self.frame.fields(frames.REPORTS[count])
+        found = self.instance(who)
+        transaction = found.transactions.get(number) if found else None
+        if not found or not transaction:
+            return
+
+        def end() -> None:
+            transaction.relay_ended(trial, Outcome(ending), bool(final), took / 1000.0, report)
+            found.drop_if_finished(transaction)
+        self.guarded(who, end)
+
+    def withdrawn(self) -> None:
+        who, number = self.frame.fields(frames.WITHDRAWN)
+        found = self.instance(who)
+        transaction = found and found.transactions.get(number)
+        if found and transaction:
+            self.guarded(who, transaction.client_left)
+            found.drop_if_finished(transaction)
+
+    def started(self) -> None:
+        self.frame.fields(frames.STARTED)  # streamed products only, of which the module knows none
+
+    def bell(self) -> None:
+        who, token = self.frame.fields(frames.BELL)
+        found = self.instance(who)
+        call = found.timers.pop(token, None) if found else None
+        if call:
+            self.guarded(who, call)
+
+    def contested(self) -> None:
+        who, address, product, since = self.frame.fields(frames.CONTESTED)
+        found = self.instance(who)
+        if found and address in found.servers:
+            server = found.servers[address]
+            self.guarded(who, lambda: server.contested(product, since / 1000.0))
+
+    def echo(self) -> None:
+        who, address, took, ending, count = self.frame.fields(frames.ECHO)
+        report = self.frame.fields(frames.REPORTS[count])
+        found = self.instance(who)
+        if found and address in found.servers:
+            server = found.servers[address]
+            self.guarded(who, lambda: server.probed(took / 1000.0, Outcome(ending), report))
+
+    def neighbour_says(self) -> None:
+        who, neighbour, size = self.frame.fields(frames.NEIGHBOUR_SAYS)
+        text = self.frame.blob(size)
+        found = self.instance(who)
+        if found:
+            umpire = found.umpire
+            self.guarded(who, lambda: umpire.neighbour_said(neighbour, text))
+
+    def metrics(self) -> None:
+        who, build, product, count, errored, took, since = self.frame.fields(frames.METRICS)
+        found = self.instance(who)
+        if found:
+            umpire = found.umpire
+            self.guarded(who, lambda: umpire.tallied(build, product, count, errored, took / 1000.0,
+                                                     since / 1000.0))
+
+    def rollout_state(self) -> None:
+        who, since, cap, build, stage, phase, ending, sense = self.frame.fields(frames.ROLLOUT_STATE)
+        found = self.instance(who)
+        if found is None:
+            return
+
+        def hear() -> None:
+            if ending == Receipt.COUNTED:
+                found.umpire.release_news(since / 1000.0, cap, build, stage, Phase(phase))
+            if sense:
+                found.umpire.vote_answered(Receipt(ending))
+        self.guarded(who, hear)
+
+
+def serve(make: MakeUmpire, source: BinaryIO, sink: BinaryIO) -> int:
+    """Answer batches until the input ends; a malformed one ends the process without a reply."""
+    process = Process(make)
+    try:
+        while (frame := frames.next_frame(source)) is not None:
+            sink.write(process.batch(frame))
+            sink.flush()
+    except Malformed as trouble:
+        print(f"stepsail: malformed input: {trouble}", file=sys.stderr)
+        return 2
+    return 0
--- /dev/null
+++ b/stepsail/balance.py
@@ -0,0 +1,481 @@
+"""All decisions of one umpire: where a transaction goes, when it is denied, how a build on trial is judged.
+
+A host makes `Umpire(charter, host, seed)` and then calls it: `meet` for a server new to it (the handle's
+`listed`, `probed` and `contested` follow), `roster_read` after each list, `take` for each transaction (the
+handle's `relay_ended` and `client_left` follow), `release_news`, `vote_answered`, `tallied`,
+`neighbour_said`. What the umpire wants done it asks of `host`. Types and Protocols of both sides stand in
+`stepsail/interface.py`; the test comes from the Rapid Regression Detection paper as `docs/design.md` tells,
+and keeps its words: gap, radius, level.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from collections import deque
+from collections.abc import Iterable, Sequence
+from math import log, sqrt
+from zlib import crc32
+
+from stepsail.interface import Charter, Control, Group, Host, Listed, Outcome, Phase, Receipt, Repeat, Verdict
+
+EDGES = (0.02, 0.03, 0.045, 0.065, 0.09, 0.13, 0.18, 0.25, 0.35, 0.5, 0.75, 0.999)  # of abandon time: x1.4
+LEVEL = 0.01  # chance of one false rejection in a stage; the design's
+MARGIN = 0.15  # gap beyond the radius that votes back; the design's
+TOLERANCE = 0.1  # gap plus radius that votes on; the design's
+LEAST = 20  # new-build outcomes that vote on unless worse; the design's
+YOUNG = 3.0  # s; a server's start is no evidence for so long, and no on comes so soon after the newest start
+RENEW = 0.7  # share of a vote's life after which it is cast again, early enough for one lost answer
+VOTE_PAUSE = 0.5  # s before a vote that release control did not count is cast again; spares its allowance
+BEAT = 0.05  # s between looks at waiting transactions and at the vote; a small part of any target time
+LAST_CALL = BEAT + 0.02  # s before the abandon time when one waiting is answered: a beat, a few batches
+PATIENCE = 0.6  # share of the target time a relay that may be repeated gets; leaves time for a second one
+SLIP = 0.02  # s by which counts of the exposure window lean to the safe side; a few batches
+ASK_AGAIN = (0.8, 4.0)  # s; first and longest pause after a failed roster call, so that calls do not pile up
+REST = (0.5, 4.0)  # s; first and longest rest of a silent server: a stall's length to a restart's
+PACE_KEPT = 16  # outcomes after which a server's or a product's pace is halved: a second or two of traffic
+COLD_FREE = 1.0  # relays that a cold server may get from each umpire beyond its share; one finds out it lives
+RECENT = 1000  # taken transactions remembered for cold servers; more than a busy umpire takes in the window
+CROSSING = 0.5  # relays' worth of queue that a server near by may be longer before a far one is taken
+
+
+def radius(n: float, level: float) -> float:
+    """Half-width of one build's band after n outcomes (Howard and Ramdas' bound, the paper's section 4)."""
+    return 0.85 * sqrt((log(1 + log(n)) + 0.8 * log(1612 / level)) / n) if n >= 1 else 1.0
+
+
+class Sample:
+    """Relay times of one build and product as shares of the abandon time, in few bins; a failed one is 1."""
+
+    __slots__ = ("bins", "errored", "n")
+
+    def __init__(self) -> None:
+        self.bins, self.n, self.errored = [0.0] * (len(EDGES) + 1), 0, 0
+
+    def add(self, share: float, errored: bool) -> None:
+        self.bins[bisect_left(EDGES, share)] += 1
+        self.n += 1
+        self.errored += errored
+
+
+def gap(before: dict[int, Sample], fresh: dict[int, Sample]) -> tuple[float, int, int]:
+    """Largest excess of the earlier build's distribution over the new one's, and the outcomes behind each."""
+    both = [p for p in sorted(fresh) if p in before]
+    n, m = sum(fresh[p].n for p in both), sum(before[p].n for p in both)
+    widest = below = 0.0
+    for edge in range(len(EDGES)):
+        below += sum(before[p].bins[edge] / m - fresh[p].bins[edge] / n for p in both)
+        widest = max(widest, below)
+    return widest, n, m
+
+
+class Pace:
+    """How long relays take against what is usual for their product; old outcomes fade by halving."""
+
+    __slots__ = ("n", "total")
+
+    def __init__(self) -> None:
+        self.n, self.total = 2.0, 2.0
+
+    def add(self, ratio: float) -> None:
+        self.n, self.total = self.n + 1, self.total + ratio
+        if self.n > PACE_KEPT:
+            self.n, self.total = self.n / 2, self.total / 2
+
+    def mean(self) -> float:
+        return self.total / self.n
+
+
+class Server:
+    """One server as this umpire sees it."""
+
+    def __init__(self, umpire: Umpire, address: bytes) -> None:
+        self.umpire, self.address = umpire, address
+        self.zone = self.cell = self.build = 0
+        self.since = self.load = self.rest_until = 0.0
+        self.state, self.round, self.open, self.open_then, self.silent = Listed.GONE, 0, 0, 0, 0
+        self.pace = Pace()
+        self.sent: deque[float] = deque()
+
+    def listed(self, zone: int, cell: int, build: int, state: int, since: float, size: float) -> None:
+        if since != self.since or build != self.build:  # another process, or another machine at this address
+            self.pace, self.silent, self.rest_until, self.load = Pace(), 0, 0.0, 0.0
+        self.zone, self.cell, self.build, self.since = zone, cell, build, since
+        self.state = Listed(state) if state in (0, 1) else Listed.GONE
+        self.round = self.umpire.round
+
+    def age(self) -> float:
+        return self.umpire.host.clock - self.since if self.since > 0 else 1e9
+
+    def warmth(self) -> float:
+        """Least share of its capacity that this server can have by now."""
+        charter = self.umpire.charter
+        age = self.age()
+        if age >= charter.cold_for:
+            return 1.0
+        return charter.cold_from + (1 - charter.cold_from) * max(0.0, age) / charter.cold_for
+
+    def may_push(self) -> bool:
+        """Guards against all umpires pushing a cold server over: each sends it no more than its warmth's part
+        of an even share of what it takes, so that the sum stays under what a warm server gets. Harms: a fleet
+        that is cold as a whole is filled slowly, and transactions wait."""
+        warmth, umpire = self.warmth(), self.umpire
+        if warmth >= 1:
+            return True
+        since = umpire.host.clock - umpire.charter.fall_for
+        for times in (self.sent, umpire.recent):
+            while times and times[0] < since:
+                times.popleft()
+        ready = sum(s.state is Listed.READY for s in umpire.servers)
+        return len(self.sent) + 1 <= COLD_FREE + warmth * len(umpire.recent) / max(1, ready)
+
+    def cost(self) -> float:
+        """What one more relay would wait for here, in relays of usual pace."""
+        held = self.load + self.open - self.open_then
+        far = self.umpire.charter.crossing_price and self.zone != self.umpire.charter.zone
+        return (max(held, self.open) + 1) * self.pace.mean() / self.warmth() + (CROSSING if far else 0.0)
+
+    def heard(self, report: Sequence[float]) -> None:
+        columns = self.umpire.charter.report_columns
+        if report and len(report) == len(columns):
+            if "rif" in columns:
+                self.load = report[columns.index("rif")]
+            elif "q" in columns:
+                self.load = report[columns.index("q")] + self.open
+            self.open_then = self.open
+
+    def relay_ended(self, outcome: Outcome, ratio: float) -> None:
+        self.open -= 1
+        if outcome in (Outcome.HANDLED, Outcome.ERRORED):
+            self.silent = 0
+            if outcome is Outcome.HANDLED:
+                self.pace.add(ratio)
+        elif outcome in (Outcome.UNREACHED, Outcome.BROKEN, Outcome.LATE):
+            # Guards against servers that are dead, cut off or stalled while the roster calls them ready.
+            self.silent += 1 if outcome is Outcome.LATE else 2
+            if self.silent >= 2:
+                self.rest()
+        elif outcome is Outcome.FULL:
+            self.rest_until = self.umpire.host.clock + BEAT
+
+    def rest(self) -> None:
+        length = min(REST[1], REST[0] * 2 ** ((self.silent - 2) // 2))
+        self.rest_until = self.umpire.host.clock + length
+
+    def probed(self, took: float, outcome: Outcome, report: Sequence[float]) -> None:
+        self.heard(report)
+
+    def contested(self, product: int, since: float) -> None:
+        pass
+
+
+class Relay:
+    """One relay of a transaction."""
+
+    __slots__ = ("at", "build", "ended", "may_have_run", "old_enough", "server")
+
+    def __init__(self, server: Server, at: float) -> None:
+        self.server, self.at, self.build = server, at, server.build
+        self.ended, self.may_have_run, self.old_enough = False, True, server.age() >= YOUNG
+
+
+class Transaction:
+    """A transaction taken; it owes its client exactly one final answer."""
+
+    __slots__ = ("closed", "key", "number", "product", "relays", "tenant", "umpire", "until")
+
+    def __init__(self, umpire: Umpire, number: int, product: int, tenant: int, until: float,
+                 key: int) -> None:
+        self.umpire, self.number, self.tenant, self.until, self.key = umpire, number, tenant, until, key
+        self.product = umpire.charter.products[product]
+        self.relays: list[Relay] = []
+        self.closed = False
+
+    @property
+    def finished(self) -> bool:
+        return self.closed and all(r.ended for r in self.relays)
+
+    def may_have_run(self) -> Relay | None:
+        return next((r for r in self.relays if r.may_have_run), None)
+
+    def may_go(self, server: Server) -> bool:
+        """Whether no effect can happen twice if this transaction goes to that server now."""
+        first = self.may_have_run()
+        if first is None or self.product.repeat is Repeat.REDOABLE:
+            return True
+        if self.product.repeat is Repeat.IRREVERSIBLE:
+            return False
+        group, told = self.product.group, first.server
+        same = (group is Group.ALL or (group is Group.ZONE and server.zone == told.zone)
+                or (group is Group.CELL and server.cell == told.cell))
+        return same and self.umpire.host.clock < first.at + self.product.window - SLIP
+
+    def may_deny(self) -> bool:
+        return (self.may_have_run() is None or self.product.repeat is Repeat.REDOABLE
+                or (self.product.repeat is Repeat.LABELLED and self.product.group is Group.ALL))
+
+    def close(self) -> None:
+        self.closed = True
+        if self.may_deny():
+            self.umpire.host.deny(self, self.umpire.charter.longest_stay_away)
+        else:
+            self.umpire.host.error(self)
+
+    def repeatable(self) -> bool:
+        return (self.product.repeat is not Repeat.IRREVERSIBLE
+                and len(self.relays) + 1 < self.umpire.charter.most_relays)
+
+    def dispatch(self) -> bool:
+        """Send, wait (False) or give up."""
+        umpire, now = self.umpire, self.umpire.host.clock
+        if now >= self.until - LAST_CALL or len(self.relays) >= umpire.charter.most_relays:
+            self.close()
+            return True
+        server = umpire.choose(self)
+        if server is None:
+            if not any(self.may_go(s) for s in umpire.servers):
+                self.close()
+                return True
+            return False
+        until = self.until
+        if self.repeatable():
+            until = min(until, now + max(PATIENCE * self.product.target, BEAT))
+        umpire.exposed(self, server)
+        self.relays.append(Relay(server, now))
+        server.open += 1
+        if server.warmth() < 1:
+            server.sent.append(now)
+        if server.silent >= 2:
+            server.rest()  # one relay at a time finds out whether a silent server is back
+        umpire.host.relay(self, server, until)
+        return True
+
+    def relay_ended(self, number: int, outcome: Outcome, final: bool, took: float,
+                    report: Sequence[float]) -> None:
+        relay = self.relays[number]
+        relay.ended = True
+        if outcome in (Outcome.FULL, Outcome.UNREACHED, Outcome.UNSENT):
+            relay.may_have_run = False
+        relay.server.heard(report)
+        relay.server.relay_ended(outcome, self.umpire.ratio(self.product.index, outcome, took))
+        self.umpire.judge(self, relay, outcome, took)
+        if final:
+            self.closed = True
+        if not self.closed and all(r.ended for r in self.relays) and not self.dispatch():
+            self.umpire.waiting.append(self)
+
+    def client_left(self) -> None:
+        self.closed = True
+
+
+class Allowance:
+    """Relays at the build on trial and transactions taken within the window of the rule on exposure."""
+
+    def __init__(self, charter: Charter) -> None:
+        self.charter = charter
+        self.taken: deque[float] = deque()
+        self.sent: deque[float] = deque()
+
+    def left(self, now: float, cap: float) -> float:
+        while self.taken and self.taken[0] <= now - self.charter.window + SLIP:
+            self.taken.popleft()
+        while self.sent and self.sent[0] < now - self.charter.window - SLIP:
+            self.sent.popleft()
+        return self.charter.free + cap * len(self.taken) - len(self.sent) if cap > 0 else 0.0
+
+
+class Trial:
+    """The test of one build in one stage, and the vote that follows from it."""
+
+    def __init__(self, build: int, stage: int, phase: Phase, before: dict[int, Sample]) -> None:
+        self.build, self.stage, self.phase, self.before = build, stage, phase, before
+        self.fresh: dict[int, Sample] = {}
+        self.verdict = Verdict.NONE
+        self.cast_at = self.ask_at = 0.0
+
+    def add(self, product: int, build: int, share: float, errored: bool) -> None:
+        side = self.fresh if build == self.build else self.before
+        if build <= self.build:
+            side.setdefault(product, Sample()).add(share, errored)
+
+    def look(self, level: float, settled: bool) -> Verdict:
+        if not self.fresh or not self.before:
+            return Verdict.NONE
+        wide, n, m = gap(self.before, self.fresh)
+        if not n or not m:
+            return Verdict.NONE
+        around = radius(n, level / 2) + radius(m, level / 2)
+        if wide - around > MARGIN:
+            return Verdict.BACK
+        worse = (sum(s.errored for s in self.fresh.values()) / n
+                 > sum(s.errored for s in self.before.values()) / m)
+        if settled and (wide + around < TOLERANCE or (n >= LEAST and not worse)):
+            return Verdict.ON
+        return Verdict.NONE
+
+
+class Umpire:
+    """Takes transactions and answers them, follows the roster and the release, and votes."""
+
+    def __init__(self, charter: Charter, host: Host, seed: int) -> None:
+        self.charter, self.host, self.seed = charter, host, seed
+        self.draws = self.round = 0
+        self.servers: list[Server] = []
+        self.waiting: list[Transaction] = []
+        self.usual = [Pace() for _ in charter.products]
+        self.allowances = [Allowance(charter) for _ in (charter.products if charter.by_product else (0,))]
+        self.recent: deque[float] = deque(maxlen=RECENT)
+        self.build, self.stage, self.phase, self.cap = -1, 0, Phase.RELEASED, 0.0
+        self.trial: Trial | None = None
+        self.asking = ASK_AGAIN[0]
+        self.informed = not charter.must_ask
+        if charter.must_ask:
+            self.watch()
+        host.wake(BEAT, self.beat)
+
+    def chance(self) -> float:
+        self.draws += 1
+        return crc32(b"%d.%d" % (self.seed, self.draws)) / 2**32
+
+    # The roster.
+
+    def meet(self, address: bytes) -> Server:
+        server = Server(self, address)
+        self.servers.append(server)
+        return server
+
+    def roster_read(self, whole: bool, cached: bool) -> None:
+        for server in self.servers:
+            if whole and server.round != self.round:
+                server.state = Listed.GONE
+        self.round += 1
+        if not cached:
+            self.informed, self.asking = True, ASK_AGAIN[0]
+
+    def roster_failed(self) -> None:
+        self.informed = False
+
+    def watch(self) -> None:
+        if not self.informed:
+            self.host.watch_roster()
+            self.asking = min(ASK_AGAIN[1], self.asking * 1.5)
+        self.host.wake(self.asking * (0.75 + 0.5 * self.chance()), self.watch)
+
+    # The release.
+
+    def release_news(self, age: float, cap: float, build: int, stage: int, phase: Phase) -> None:
+        if build < self.build:
+            return  # news of a build that a later one has followed
+        moved = (build, stage, phase) != (self.build, self.stage, self.phase)
+        self.build, self.stage, self.phase, self.cap = build, stage, phase, cap
+        if not moved:
+            return
+        before: dict[int, Sample] = {}
+        if self.trial and self.trial.build == build and self.charter.replaces:
+            before = self.trial.before  # the earlier servers may be gone: their last sample stands for them
+        self.trial = Trial(build, stage, phase, before) if phase in (Phase.TRIAL, Phase.RELEASED) else None
+
+    def vote_answered(self, receipt: Receipt) -> None:
+        trial, now = self.trial, self.host.clock
+        if trial and trial.cast_at:
+            if receipt is Receipt.COUNTED:
+                trial.ask_at = now + RENEW * self.charter.vote_life
+            else:  # an unknown or moot vote may count later: it is cast again, as it can only say the same
+                trial.ask_at = now + VOTE_PAUSE * (0.75 + 0.5 * self.chance())
+
+    def tallied(self, build: int, product: int, count: int, errored: int, mean: float, age: float) -> None:
+        pass
+
+    def neighbour_said(self, neighbour: int, text: bytes) -> None:
+        pass
+
+    def judge(self, transaction: Transaction, relay: Relay, outcome: Outcome, took: float) -> None:
+        """Only answers, errors and lateness speak of a build; the rest speaks of a server or this umpire."""
+        if self.trial and relay.old_enough and outcome in (Outcome.HANDLED, Outcome.ERRORED, Outcome.LATE):
+            share = took / transaction.product.abandon if outcome is Outcome.HANDLED else 1.0
+            self.trial.add(transaction.product.index, relay.build, share, outcome is Outcome.ERRORED)
+
+    def consider(self) -> None:
+        """Look at the test and keep the vote standing."""
+        trial, now = self.trial, self.host.clock
+        if not trial:
+            return
+        if trial.verdict is Verdict.NONE:
+            newest = [s.since for s in self.servers if s.build == trial.build and s.state is Listed.READY]
+            settled = bool(newest) and now - max(newest) >= YOUNG and trial.phase is Phase.TRIAL
+            verdict = trial.look(LEVEL, settled)
+            if verdict is Verdict.BACK or self.charter.control is not Control.CLOCK:
+                trial.verdict = verdict
+        if trial.verdict is not Verdict.NONE and now >= trial.ask_at:
+            self.host.vote(trial.build, trial.stage, trial.verdict)
+            trial.cast_at, trial.ask_at = now, now + self.charter.vote_wait + VOTE_PAUSE
+
+    # Transactions.
+
+    def take(self, number: int, product: int, tenant: int, effort: float | None, until: float,
+             key: int) -> Transaction:
+        transaction = Transaction(self, number, product, tenant, until, key)
+        self.allowance(transaction).taken.append(self.host.clock)
+        self.recent.append(self.host.clock)
+        if not transaction.dispatch():
+            self.waiting.append(transaction)
+        return transaction
+
+    def allowance(self, transaction: Transaction) -> Allowance:
+        return self.allowances[transaction.product.index if self.charter.by_product else 0]
+
+    def on_trial(self, build: int) -> bool:
+        if self.build < 0:  # no news yet: whatever follows the earliest build listed may be on trial
+            return build > min(s.build for s in self.servers if s.state is Listed.READY)
+        return build > self.build or (build == self.build and self.phase is not Phase.RELEASED)
+
+    def may_expose(self, transaction: Transaction, build: int) -> bool:
+        """Whether one more relay at a build on trial keeps the rule on exposure."""
+        known = build == self.build
+        cap = self.cap if known else self.charter.caps[0] if self.charter.caps else 0.0
+        stage = self.stage if known else 0
+        if stage < self.charter.guarded_stages and transaction.product.repeat is not Repeat.REDOABLE:
+            return False
+        return self.allowance(transaction).left(self.host.clock, cap) >= 1
+
+    def exposed(self, transaction: Transaction, server: Server) -> None:
+        if self.on_trial(server.build):
+            self.allowance(transaction).sent.append(self.host.clock)
+
+    def choose(self, transaction: Transaction) -> Server | None:
+        ready = [s for s in self.servers
+                 if s.state is Listed.READY and transaction.may_go(s) and s.may_push()]
+        tried = [r.server for r in transaction.relays]
+        now = self.host.clock
+        ready = ([s for s in ready if s not in tried and s.rest_until <= now]
+                 or [s for s in ready if s not in tried] or ready)
+        news = [s for s in ready if self.on_trial(s.build) and self.may_expose(transaction, s.build)]
+        olds = [s for s in ready if not self.on_trial(s.build)]
+        part = sum(s.warmth() for s in news)
+        if news and (not olds or self.chance() < part / (part + sum(s.warmth() for s in olds))):
+            return self.pick(news)
+        return self.pick(olds) if olds else None
+
+    def pick(self, servers: Sequence[Server]) -> Server:
+        """Two random choices, weighted by warmth, so that a cold server gets no more than its warm peers."""
+        return min((self.draw(servers) for _ in range(2)), key=Server.cost)
+
+    def draw(self, servers: Iterable[Server]) -> Server:
+        weights = [(s, s.warmth()) for s in servers]
+        point = self.chance() * sum(w for _, w in weights)
+        for server, weight in weights:
+            point -= weight
+            if point < 0:
+                return server
+        return weights[-1][0]
+
+    def ratio(self, product: int, outcome: Outcome, took: float) -> float:
+        usual = self.usual[product]
+        if outcome is Outcome.HANDLED:
+            usual.add(took)
+        return took / usual.mean()
+
+    def beat(self) -> None:
+        waiting, self.waiting = self.waiting, []
+        self.waiting = [t for t in waiting if not t.closed and not t.dispatch()]
+        self.consider()
+        self.host.wake(BEAT, self.beat)
