No time-outs of our own; on waits until all of a stage's servers are listed

Cause: a relay cut at 0.6 of the target time was repeated while its work went on, and 50 to 86% of relays timed out in a retry storm that never ended; one vote for on came 0.5 s into a stage's clock because late-listed servers were not waited for.

--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -23,12 +23,13 @@
 MARGIN = 0.15  # gap beyond the radius that votes back; the design's
 TOLERANCE = 0.1  # gap plus radius that votes on; the design's
 LEAST = 20  # new-build outcomes that vote on unless worse; the design's
-YOUNG = 3.0  # s; a server's start is no evidence for so long, and no on comes so soon after the newest start
+YOUNG = 3.0  # s after its start in which a server gives no evidence; the design's
+PATIENT = 3.3  # s after the newest start of a stage before an on: its clock starts 1 s later and runs for 2
+LONGEST_START = 8.0  # s after its launch when a stage's clock starts though a server is missing; the platform's
 RENEW = 0.7  # share of a vote's life after which it is cast again, early enough for one lost answer
 VOTE_PAUSE = 0.5  # s before a vote that release control did not count is cast again; spares its allowance
 BEAT = 0.05  # s between looks at waiting transactions and at the vote; a small part of any target time
 LAST_CALL = BEAT + 0.02  # s before the abandon time when one waiting is answered: a beat, a few batches
-PATIENCE = 0.6  # share of the target time a relay that may be repeated gets; leaves time for a second one
 SLIP = 0.02  # s by which counts of the exposure window lean to the safe side; a few batches
 ASK_AGAIN = (0.8, 4.0)  # s; first and longest pause after a failed roster call, so that calls do not pile up
 REST = (0.5, 4.0)  # s; first and longest rest of a silent server: a stall's length to a restart's
@@ -220,10 +221,6 @@
         else:
             self.umpire.host.error(self)
 
-    def repeatable(self) -> bool:
-        return (self.product.repeat is not Repeat.IRREVERSIBLE
-                and len(self.relays) + 1 < self.umpire.charter.most_relays)
-
     def dispatch(self) -> bool:
         """Send, wait (False) or give up."""
         umpire, now = self.umpire, self.umpire.host.clock
@@ -236,9 +233,6 @@
                 self.close()
                 return True
             return False
-        until = self.until
-        if self.repeatable():
-            until = min(until, now + max(PATIENCE * self.product.target, BEAT))
         umpire.exposed(self, server)
         self.relays.append(Relay(server, now))
         server.open += 1
@@ -246,7 +240,7 @@
             server.sent.append(now)
         if server.silent >= 2:
             server.rest()  # one relay at a time finds out whether a silent server is back
-        umpire.host.relay(self, server, until)
+        umpire.host.relay(self, server, self.until)
         return True
 
     def relay_ended(self, number: int, outcome: Outcome, final: bool, took: float,
@@ -286,8 +280,9 @@
 class Trial:
     """The test of one build in one stage, and the vote that follows from it."""
 
-    def __init__(self, build: int, stage: int, phase: Phase, before: dict[int, Sample]) -> None:
-        self.build, self.stage, self.phase, self.before = build, stage, phase, before
+    def __init__(self, build: int, stage: int, phase: Phase, began: float,
+                 before: dict[int, Sample]) -> None:
+        self.build, self.stage, self.phase, self.began, self.before = build, stage, phase, began, before
         self.fresh: dict[int, Sample] = {}
         self.verdict = Verdict.NONE
         self.cast_at = self.ask_at = 0.0
@@ -372,7 +367,8 @@
         before: dict[int, Sample] = {}
         if self.trial and self.trial.build == build and self.charter.replaces:
             before = self.trial.before  # the earlier servers may be gone: their last sample stands for them
-        self.trial = Trial(build, stage, phase, before) if phase in (Phase.TRIAL, Phase.RELEASED) else None
+        judged = phase in (Phase.TRIAL, Phase.RELEASED)
+        self.trial = Trial(build, stage, phase, self.host.clock - age, before) if judged else None
 
     def vote_answered(self, receipt: Receipt) -> None:
         trial, now = self.trial, self.host.clock
@@ -400,15 +396,23 @@
         if not trial:
             return
         if trial.verdict is Verdict.NONE:
-            newest = [s.since for s in self.servers if s.build == trial.build and s.state is Listed.READY]
-            settled = bool(newest) and now - max(newest) >= YOUNG and trial.phase is Phase.TRIAL
-            verdict = trial.look(LEVEL, settled)
+            verdict = trial.look(LEVEL, trial.phase is Phase.TRIAL and self.settled(trial))
             if verdict is Verdict.BACK or self.charter.control is not Control.CLOCK:
                 trial.verdict = verdict
         if trial.verdict is not Verdict.NONE and now >= trial.ask_at:
             self.host.vote(trial.build, trial.stage, trial.verdict)
             trial.cast_at, trial.ask_at = now, now + self.charter.vote_wait + VOTE_PAUSE
 
+    def settled(self, trial: Trial) -> bool:
+        """Guards against an on before the stage's clock has run: its servers may start, or be listed, one by one
+        and late, so that the newest listed start alone tells too little."""
+        ready = [s for s in self.servers if s.state is Listed.READY]
+        fresh = [s.since for s in ready if s.build == trial.build]
+        places = len(ready) if self.charter.replaces else len(ready) - len(fresh)
+        complete = len(fresh) >= max(1, int(self.charter.shares[trial.stage] * places + 0.5))
+        return (complete or self.host.clock - trial.began >= LONGEST_START + PATIENT) and bool(fresh) and (
+            self.host.clock - max(fresh) >= PATIENT)
+
     # Transactions.
 
     def take(self, number: int, product: int, tenant: int, effort: float | None, until: float,
