Open relays held to the rate of answers; late waiting transactions denied

Open relays are now held to what is answered within 0.6 of the shortest target time, with a floor of three a server from all umpires; what waits is served by revenue for its work and denied once it cannot be in time. It should hold against bursts, slow or lost servers and retry storms of any cause, and can hurt where traffic rises suddenly after a lull.

--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -25,7 +25,7 @@
 LEAST = 20  # new-build outcomes that vote on unless worse; the design's
 YOUNG = 3.0  # s after its start in which a server gives no evidence; the design's
 PATIENT = 3.3  # s after the newest start of a stage before an on: its clock starts 1 s later and runs for 2
-LONGEST_START = 8.0  # s after its launch when a stage's clock starts though a server is missing; the platform's
+LONGEST_START = 8.0  # s after its launch when a stage's clock starts though servers are missing
 RENEW = 0.7  # share of a vote's life after which it is cast again, early enough for one lost answer
 VOTE_PAUSE = 0.5  # s before a vote that release control did not count is cast again; spares its allowance
 BEAT = 0.05  # s between looks at waiting transactions and at the vote; a small part of any target time
@@ -34,8 +34,12 @@
 ASK_AGAIN = (0.8, 4.0)  # s; first and longest pause after a failed roster call, so that calls do not pile up
 REST = (0.5, 4.0)  # s; first and longest rest of a silent server: a stall's length to a restart's
 PACE_KEPT = 16  # outcomes after which a server's or a product's pace is halved: a second or two of traffic
+QUEUE = 0.6  # share of the shortest target time that open relays may need at the rate of answers
+RATE_OVER = 2.0  # s over which answers are counted for that rate: some tens of answers, many times a stall
+FEW_OPEN = 3.0  # relays that each umpire, and each server from all, may have open however slow answers are
 COLD_FREE = 1.0  # relays that a cold server may get from each umpire beyond its share; one finds out it lives
 RECENT = 1000  # taken transactions remembered for cold servers; more than a busy umpire takes in the window
+PRIOR = 0.2  # share of a product's target time taken as usual before anything was seen
 CROSSING = 0.5  # relays' worth of queue that a server near by may be longer before a far one is taken
 
 
@@ -74,8 +78,8 @@
 
     __slots__ = ("n", "total")
 
-    def __init__(self) -> None:
-        self.n, self.total = 2.0, 2.0
+    def __init__(self, start: float = 1.0) -> None:
+        self.n, self.total = 2.0, 2.0 * start
 
     def add(self, ratio: float) -> None:
         self.n, self.total = self.n + 1, self.total + ratio
@@ -182,14 +186,14 @@
 class Transaction:
     """A transaction taken; it owes its client exactly one final answer."""
 
-    __slots__ = ("closed", "key", "number", "product", "relays", "tenant", "umpire", "until")
+    __slots__ = ("closed", "key", "number", "product", "relays", "taken", "tenant", "umpire", "until")
 
     def __init__(self, umpire: Umpire, number: int, product: int, tenant: int, until: float,
                  key: int) -> None:
         self.umpire, self.number, self.tenant, self.until, self.key = umpire, number, tenant, until, key
         self.product = umpire.charter.products[product]
         self.relays: list[Relay] = []
-        self.closed = False
+        self.closed, self.taken = False, umpire.host.clock
 
     @property
     def finished(self) -> bool:
@@ -227,7 +231,11 @@
         if now >= self.until - LAST_CALL or len(self.relays) >= umpire.charter.most_relays:
             self.close()
             return True
-        server = umpire.choose(self)
+        usual = umpire.usual[self.product.index].mean()
+        if not self.relays and now > self.taken + self.product.target - usual:
+            self.close()  # too late to be of worth: the answer that it gets at once costs no server anything
+            return True
+        server = umpire.choose(self) if umpire.has_room() else None
         if server is None:
             if not any(self.may_go(s) for s in umpire.servers):
                 self.close()
@@ -256,6 +264,8 @@
             self.closed = True
         if not self.closed and all(r.ended for r in self.relays) and not self.dispatch():
             self.umpire.waiting.append(self)
+        if self.umpire.waiting:
+            self.umpire.serve_waiting()
 
     def client_left(self) -> None:
         self.closed = True
@@ -316,9 +326,11 @@
         self.draws = self.round = 0
         self.servers: list[Server] = []
         self.waiting: list[Transaction] = []
-        self.usual = [Pace() for _ in charter.products]
+        self.usual = [Pace(PRIOR * p.target) for p in charter.products]
         self.allowances = [Allowance(charter) for _ in (charter.products if charter.by_product else (0,))]
         self.recent: deque[float] = deque(maxlen=RECENT)
+        self.answers: deque[float] = deque()
+        self.shortest = min((p.target for p in charter.products), default=1.0)
         self.build, self.stage, self.phase, self.cap = -1, 0, Phase.RELEASED, 0.0
         self.trial: Trial | None = None
         self.asking = ASK_AGAIN[0]
@@ -404,8 +416,8 @@
             trial.cast_at, trial.ask_at = now, now + self.charter.vote_wait + VOTE_PAUSE
 
     def settled(self, trial: Trial) -> bool:
-        """Guards against an on before the stage's clock has run: its servers may start, or be listed, one by one
-        and late, so that the newest listed start alone tells too little."""
+        """Guards against an on before the stage's clock has run: its servers may start, or be listed, one by
+        one and late, so that the newest listed start alone tells too little."""
         ready = [s for s in self.servers if s.state is Listed.READY]
         fresh = [s.since for s in ready if s.build == trial.build]
         places = len(ready) if self.charter.replaces else len(ready) - len(fresh)
@@ -476,10 +488,29 @@
         usual = self.usual[product]
         if outcome is Outcome.HANDLED:
             usual.add(took)
+        if outcome in (Outcome.HANDLED, Outcome.ERRORED):
+            self.answers.append(self.host.clock)
         return took / usual.mean()
 
-    def beat(self) -> None:
+    def has_room(self) -> bool:
+        """Guards against overload of any cause (bursts, slow or lost servers, retry storms): open relays are
+        held to what the servers answer within part of the shortest target time, so that what is sent is
+        answered in time and the rest waits here, where its denial costs nothing. Harms: a sudden rise in
+        traffic after a lull waits for a moment."""
+        while self.answers and self.answers[0] < self.host.clock - RATE_OVER:
+            self.answers.popleft()
+        awake = [s for s in self.servers if s.state is Listed.READY and s.rest_until <= self.host.clock]
+        few = FEW_OPEN * (1 + len(awake) / max(1, self.charter.umpires))
+        timely = len(self.answers) / RATE_OVER * QUEUE * self.shortest
+        return sum(s.open for s in awake) < max(few, timely)
+
+    def serve_waiting(self) -> None:
+        """The waiting go by revenue for their work, then in the order in which they came."""
         waiting, self.waiting = self.waiting, []
-        self.waiting = [t for t in waiting if not t.closed and not t.dispatch()]
+        waiting.sort(key=lambda t: -t.product.revenue / self.usual[t.product.index].mean())
+        self.waiting = [t for t in waiting if not t.closed and not t.dispatch()] + self.waiting
+
+    def beat(self) -> None:
+        self.serve_waiting()
         self.consider()
         self.host.wake(BEAT, self.beat)
