--- a/stepsail/adapter/host.py
+++ b/stepsail/adapter/host.py
@@ -161,7 +161,7 @@
 
         def take() -> None:
             transaction = found.umpire.take(number, product, tenant, effort / 1000.0 if bits & 1 else None,
-                                            until / 1000.0, key)
+                                            until / 1000.0, key, bool(bits & 2))
             found.transactions[number] = transaction
             found.drop_if_finished(transaction)
         self.guarded(who, take)
--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -28,9 +28,8 @@
 FAULTS = 0.006  # share of relays that fail or are contested on any build; a few times what sound servers show
 GUESSES = (0.04, 0.12, 0.35, 0.75)  # excess shares that a build is tried for: rare faults to a failed product
 SLOW_FOR = 5.0  # s that all servers' slowness must outlast on a trial; longer than most bursts
-LATELY = 40.0  # outcomes after which the latest sample is halved; a few seconds of a busy umpire
-CALM = 800.0  # the same for the sample from before a build was offered, which wants to be exact
-UNSURE = 20.0  # s after its release in which a build is no part of the calm
+LATELY = 50.0  # outcomes of a product after which the latest sample is halved; some seconds' worth
+ASKED_OVER = 4.0  # s over which first tries are counted, some tens of them, to tell load from slowness
 BUSIER = 1.4  # times the calm traffic from which slowness everywhere may be the load itself
 LEAN = 1.0  # log of the evidence against a build above which the least sample votes nothing
 YOUNG = 3.0  # s after its start in which a server gives no evidence; the design's
@@ -368,7 +367,7 @@
         # relays lately against those from before it was offered, unless more is asked for. A shared
         # dependency looks alike but ends: the umpire holds meanwhile. Harms: a good build where it does not.
         everywhere = doubts(self.umpire.calm, self.umpire.lately, range(FAILED))
-        if everywhere < surely / 2 or self.umpire.asked() > BUSIER * self.umpire.calm_rate.mean():
+        if everywhere < surely / 2 or self.umpire.asked() > BUSIER * self.umpire.calm_asked:
             self.slow_since = now
         elif everywhere > surely and now - self.slow_since > SLOW_FOR:
             return Verdict.BACK
@@ -393,7 +392,8 @@
         self.answers: deque[float] = deque()
         self.calm: Samples = {}
         self.lately: Samples = {}
-        self.calm_rate = Pace(0.0)
+        self.first_tries: deque[float] = deque()
+        self.calm_asked = 0
         # where any one vote decides, the chances of a false one add up over the umpires
         self.level = LEVEL / max(1, charter.umpires) if charter.control is not Control.SHARE else LEVEL
         self.shortest = min((p.target for p in charter.products), default=1.0)
@@ -438,6 +438,8 @@
     def release_news(self, age: float, cap: float, build: int, stage: int, phase: Phase) -> None:
         if build < self.build:
             return  # news of a build that a later one has followed
+        if build > self.build:
+            self.calm, self.lately, self.calm_asked = self.lately, {}, self.asked()
         moved = (build, stage, phase) != (self.build, self.stage, self.phase)
         self.build, self.stage, self.phase, self.cap = build, stage, phase, cap
         if not moved:
@@ -471,12 +473,11 @@
         for side in trial.sides(relay.build) if trial else ():
             side.setdefault(product, Sample()).add(share)
         self.lately.setdefault(product, Sample()).add(share, LATELY)
-        if not trial or (trial.phase is Phase.RELEASED and self.host.clock - trial.began > UNSURE):
-            self.calm.setdefault(product, Sample()).add(share, CALM)
-            self.calm_rate.add(self.asked(), CALM)
 
     def asked(self) -> int:
-        return sum(a.count(self.host.clock) for a in self.allowances)
+        while self.first_tries and self.first_tries[0] < self.host.clock - ASKED_OVER:
+            self.first_tries.popleft()
+        return len(self.first_tries)
 
     def consider(self) -> None:
         """Look at the test and keep the vote standing."""
@@ -503,11 +504,13 @@
 
     # Transactions.
 
-    def take(self, number: int, product: int, tenant: int, effort: float | None, until: float,
-             key: int) -> Transaction:
+    def take(self, number: int, product: int, tenant: int, effort: float | None, until: float, key: int,
+             again: bool) -> Transaction:
         transaction = Transaction(self, number, product, tenant, until, key)
         self.allowance(transaction).taken.append(self.host.clock)
         self.recent.append(self.host.clock)
+        if not again:
+            self.first_tries.append(self.host.clock)
         if not transaction.dispatch():
             self.waiting.append(transaction)
         return transaction
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -48,7 +48,7 @@
         self.umpire.release_news(0.0, cap, build, stage, phase)
 
     def take(self, product: int = 0, lasts: float = 3.0) -> Transaction:
-        return self.umpire.take(len(self.relays), product, 0, None, self.clock + lasts, 0)
+        return self.umpire.take(len(self.relays), product, 0, None, self.clock + lasts, 0, False)
 
     def wait(self, seconds: float) -> None:
         end = self.clock + seconds
