--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -47,6 +47,8 @@
 QUEUE = 0.6  # share of the shortest target time that open relays may need at the rate of answers
 RATE_OVER = 2.0  # s over which answers are counted for that rate: some tens of answers, many times a stall
 FEW_OPEN = 3.0  # relays that each umpire, and each server from all, may have open however slow answers are
+SPARE = 2.0  # usual times that a waiting one must have left to its target; at once it is as likely late
+WAIT = 0.25  # share of its target time that a transaction may always wait for room
 COLD_FREE = 1.0  # relays that a cold server may get from each umpire beyond its share; one finds out it lives
 RECENT = 1000  # taken transactions remembered for cold servers; more than a busy umpire takes in the window
 PRIOR = 0.2  # share of a product's target time taken as usual before anything was seen
@@ -271,8 +273,10 @@
     def dispatch(self) -> bool:
         """Send, wait (False) or give up."""
         umpire, now = self.umpire, self.umpire.host.clock
-        usual = umpire.usual[self.product.index].mean()
-        hopeless = not self.relays and now > self.taken + self.product.target - usual  # can earn no more
+        # At least WAIT is waited, whatever is usual: guards against a product that was slow for a while being
+        # denied for good, as nothing sent would show that it is quick again.
+        spare = self.product.target - SPARE * umpire.usual[self.product.index].mean()
+        hopeless = not self.relays and now > self.taken + max(spare, WAIT * self.product.target)
         if (hopeless or now >= self.until - LAST_CALL or len(self.relays) >= umpire.charter.most_relays
                 or not any(self.may_go(s) for s in umpire.servers)):
             self.close()
@@ -586,9 +590,9 @@
         return sum(s.open for s in awake) < max(few, timely)
 
     def serve_waiting(self) -> None:
-        """The waiting go by revenue for their work, then in the order in which they came."""
+        """The waiting go by revenue for their work, then the newest first: it has the most time left."""
         waiting, self.waiting = self.waiting, []
-        waiting.sort(key=lambda t: -t.product.revenue / self.usual[t.product.index].mean())
+        waiting.sort(key=lambda t: (-t.product.revenue / self.usual[t.product.index].mean(), -t.taken))
         self.waiting = [t for t in waiting if not t.closed and not t.dispatch()] + self.waiting
 
     def beat(self) -> None:
