--- a/stepsail/adapter/frames.py
+++ b/stepsail/adapter/frames.py
@@ -174,7 +174,7 @@
         fall_for=found.span("Rules.OverloadForMs"),
         control=CONTROLS.get(found.word("Domain.DecidedBy"), Control.ANY),
         replaces=found.word("Domain.ReplaceMode") == "replace", bake=found.span("Domain.BakeMs"),
-        shares=found.numbers("Domain.Shares"), caps=found.numbers("Domain.MostShares"),
+        shares=found.numbers("Domain.Shares") or (1.0,), caps=found.numbers("Domain.MostShares") or (0.0,),
         guarded_stages=found.whole("Domain.ClosedStages"), one_way=found.flag("Domain.OneWay"),
         by_product=found.word("Domain.CountedBy") == "each_class", free=found.number("Domain.Uncounted"),
         window=found.span("Domain.CountedOverMs"), vote_life=found.span("Domain.VoteStandsMs"),
--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -1,18 +1,17 @@
 """All decisions of one umpire: where a transaction goes, when it is denied, how a build on trial is judged.
 
-A host makes `Umpire(charter, host, seed)` and then calls it: `meet` for a server new to it (the handle's
-`listed`, `probed` and `contested` follow), `roster_read` after each list, `take` for each transaction (the
-handle's `relay_ended` and `client_left` follow), `release_news`, `vote_answered`, `tallied`,
-`neighbour_said`. What the umpire wants done it asks of `host`. Types and Protocols of both sides stand in
-`stepsail/interface.py`; the test comes from the Rapid Regression Detection paper as `docs/design.md` tells,
-and keeps its words: gap, radius, level.
+A host makes `Umpire(charter, host, seed)` and calls it: `meet` for a new server (its handle is then told
+`listed`, `probed`, `contested`), `roster_read` after each list, `take` for a transaction (its handle is told
+`relay_ended`, `client_left`), and the other calls as things happen. What it wants done it asks of `host`.
+Both sides' types stand in `stepsail/interface.py`; the test keeps its source's words (`docs/design.md`).
 """
 
 from __future__ import annotations
 
 from bisect import bisect_left
 from collections import deque
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
+from itertools import accumulate
 from math import exp, inf, log, sqrt
 from zlib import crc32
 
@@ -47,10 +46,10 @@
 QUEUE = 0.6  # share of the shortest target time that open relays may need at the rate of answers
 RATE_OVER = 2.0  # s over which answers are counted for that rate: some tens of answers, many times a stall
 FEW_OPEN = 3.0  # relays that each umpire, and each server from all, may have open however slow answers are
+STALL = 4.0  # usual times without a word from a server that holds relays before it counts as stalled
 SPARE = 2.0  # usual times that a waiting one must have left to its target; at once it is as likely late
 WAIT = 0.25  # share of its target time that a transaction may always wait for room
 COLD_FREE = 1.0  # relays that a cold server may get from each umpire beyond its share; one finds out it lives
-RECENT = 1000  # taken transactions remembered for cold servers; more than a busy umpire takes in the window
 PRIOR = 0.2  # share of a product's target time taken as usual before anything was seen
 CROSSING = 0.5  # relays' worth of queue that a server near by may be longer before a far one is taken
 
@@ -137,6 +136,15 @@
         return self.total / self.n
 
 
+class Times(deque[float]):
+    """When things happened, forgotten as they leave the window that is asked for."""
+
+    def since(self, start: float) -> int:
+        while self and self[0] < start:
+            self.popleft()
+        return len(self)
+
+
 class Server:
     """One server as this umpire sees it."""
 
@@ -144,9 +152,10 @@
         self.umpire, self.address = umpire, address
         self.zone = self.cell = self.build = 0
         self.since = self.load = self.rest_until = 0.0
-        self.state, self.round, self.open, self.open_then, self.silent = Listed.GONE, 0, 0, 0, 0
+        self.state, self.round, self.open_then, self.silent, self.heard_at = Listed.GONE, 0, 0, 0, 0.0
+        self.out: list[tuple[Transaction, Relay]] = []
         self.pace = Pace()
-        self.sent: deque[float] = deque()
+        self.sent = Times()
 
     def listed(self, zone: int, cell: int, build: int, state: int, since: float, size: float) -> None:
         if since != self.since or build != self.build:  # another process, or another machine at this address
@@ -156,60 +165,63 @@
         self.round = self.umpire.round
 
     def age(self) -> float:
-        return self.umpire.host.clock - self.since if self.since > 0 else 1e9
+        return self.umpire.host.clock - self.since if self.since > 0 else inf
 
     def warmth(self) -> float:
         """Least share of its capacity that this server can have by now."""
-        charter = self.umpire.charter
-        age = self.age()
-        if age >= charter.cold_for:
-            return 1.0
-        return charter.cold_from + (1 - charter.cold_from) * max(0.0, age) / charter.cold_for
+        charter, age = self.umpire.charter, max(0.0, self.age())
+        warmed = 1.0 if age >= charter.cold_for else age / charter.cold_for
+        return charter.cold_from + (1 - charter.cold_from) * warmed
 
     def may_push(self) -> bool:
         """Guards against all umpires pushing a cold server over: each sends it no more than its warmth's part
         of an even share of what it takes, so that the sum stays under what a warm server gets. Harms: a fleet
         that is cold as a whole is filled slowly, and transactions wait."""
-        warmth, umpire = self.warmth(), self.umpire
-        if warmth >= 1:
-            return True
-        for times in (self.sent, umpire.recent):
-            while times and times[0] < umpire.host.clock - umpire.charter.fall_for:
-                times.popleft()
-        ready = sum(s.state is Listed.READY for s in umpire.servers)
-        return len(self.sent) + 1 <= COLD_FREE + warmth * len(umpire.recent) / max(1, ready)
+        umpire, start = self.umpire, self.umpire.host.clock - self.umpire.charter.fall_for
+        even = umpire.taken.since(start) / max(1, sum(s.state is Listed.READY for s in umpire.servers))
+        return self.age() >= umpire.charter.cold_for or (
+            self.sent.since(start) + 1 <= COLD_FREE + self.warmth() * even)
 
     def cost(self) -> float:
         """What one more relay would wait for here, in relays of usual pace."""
-        held = self.load + self.open - self.open_then
+        held = self.load + len(self.out) - self.open_then
         far = self.umpire.charter.crossing_price and self.zone != self.umpire.charter.zone
-        return (max(held, self.open) + 1) * self.pace.mean() / self.warmth() + (CROSSING if far else 0.0)
+        return (max(held, len(self.out)) + 1) * self.pace.mean() / self.warmth() + (CROSSING if far else 0.0)
 
     def heard(self, report: Sequence[float]) -> None:
         columns = self.umpire.charter.report_columns
-        if report and len(report) == len(columns):
-            if "rif" in columns:
-                self.load = report[columns.index("rif")]
-            elif "q" in columns:
-                self.load = report[columns.index("q")] + self.open
-            self.open_then = self.open
+        held = next((c for c in ("rif", "q") if c in columns), None)
+        if held and len(report) == len(columns):
+            self.load = report[columns.index(held)] + (len(self.out) if held == "q" else 0)
+            self.open_then = len(self.out)
+
+    def awake(self) -> bool:
+        return self.state is Listed.READY and self.rest_until <= self.umpire.host.clock
+
+    def stalled(self) -> bool:
+        """Guards against a server that takes relays and falls silent (cut off, stopped, dead behind live
+        connections) before the first of them runs out of time. Harms: one heavy relay on a quiet server."""
+        now = self.umpire.host.clock
+        return bool(self.out) and self.rest_until <= now and (
+            now - max(self.out[0][1].at, self.heard_at) > max(REST, STALL * self.out[0][0].usual.mean()))
 
     def relay_ended(self, outcome: Outcome, ratio: float) -> None:
-        self.open -= 1
+        if outcome in (Outcome.HANDLED, Outcome.ERRORED, Outcome.FULL):
+            self.heard_at = self.umpire.host.clock
         if outcome in (Outcome.HANDLED, Outcome.ERRORED):
             self.silent = 0
             if outcome is Outcome.HANDLED:
                 self.pace.add(ratio)
         elif outcome in (Outcome.UNREACHED, Outcome.BROKEN, Outcome.LATE):
             # Guards against servers that are dead, cut off or stalled while the roster calls them ready.
-            self.silent = min(MOST_SILENT, self.silent + (1 if outcome is Outcome.LATE else 2))
-            if self.silent >= 2:
-                self.rest()
+            self.rest(1 if outcome is Outcome.LATE else 2)
         elif outcome is Outcome.FULL:
             self.rest_until = self.umpire.host.clock + BEAT
 
-    def rest(self) -> None:
-        self.rest_until = self.umpire.host.clock + REST * 2 ** (self.silent // 2 - 1)
+    def rest(self, silence: int) -> None:
+        self.silent = min(MOST_SILENT, self.silent + silence)
+        if self.silent >= 2:  # and then one relay at a time finds out whether it is back
+            self.rest_until = self.umpire.host.clock + REST * 2 ** (self.silent // 2 - 1)
 
     def probed(self, took: float, outcome: Outcome, report: Sequence[float]) -> None:
         self.heard(report)
@@ -234,14 +246,13 @@
 class Transaction:
     """A transaction taken; it owes its client exactly one final answer."""
 
-    __slots__ = ("closed", "key", "number", "product", "relays", "taken", "tenant", "umpire", "until")
-
     def __init__(self, umpire: Umpire, number: int, product: int, tenant: int, until: float,
                  key: int) -> None:
         self.umpire, self.number, self.tenant, self.until, self.key = umpire, number, tenant, until, key
         self.product = umpire.charter.products[product]
         self.relays: list[Relay] = []
         self.closed, self.taken = False, umpire.host.clock
+        self.usual: Pace = umpire.usual[product]
 
     @property
     def finished(self) -> bool:
@@ -257,10 +268,8 @@
             return True
         if self.product.repeat is Repeat.IRREVERSIBLE:
             return False
-        group = self.product.group
-        same = (group is Group.ALL or (group is Group.ZONE and server.zone == first.zone)
-                or (group is Group.CELL and server.cell == first.cell))
-        return same and self.umpire.host.clock < first.at + self.product.window - SLIP
+        same = {Group.ALL: True, Group.ZONE: server.zone == first.zone, Group.CELL: server.cell == first.cell}
+        return same[self.product.group] and self.umpire.host.clock < first.at + self.product.window - SLIP
 
     def close(self) -> None:
         self.closed = True
@@ -275,8 +284,9 @@
         umpire, now = self.umpire, self.umpire.host.clock
         # At least WAIT is waited, whatever is usual: guards against a product that was slow for a while being
         # denied for good, as nothing sent would show that it is quick again.
-        spare = self.product.target - SPARE * umpire.usual[self.product.index].mean()
-        hopeless = not self.relays and now > self.taken + max(spare, WAIT * self.product.target)
+        spare = self.product.target - SPARE * self.usual.mean()
+        spare = self.product.target if self.relays else max(spare, WAIT * self.product.target)
+        hopeless = now > self.taken + spare and not (self.relays and self.product.late_share)
         if (hopeless or now >= self.until - LAST_CALL or len(self.relays) >= umpire.charter.most_relays
                 or not any(self.may_go(s) for s in umpire.servers)):
             self.close()
@@ -284,13 +294,13 @@
         server = umpire.choose(self) if umpire.has_room() else None
         if server is None:
             return False
-        umpire.exposed(self, server)
+        if umpire.on_trial(server.build):
+            umpire.allowance(self).sent.append(now)
         self.relays.append(Relay(server, now))
-        server.open += 1
-        if server.warmth() < 1:
-            server.sent.append(now)
-        if server.silent >= 2:
-            server.rest()  # one relay at a time finds out whether a silent server is back
+        server.out.append((self, self.relays[-1]))
+        server.sent.append(now)
+        server.sent.since(now - umpire.charter.fall_for)
+        server.rest(0)
         umpire.host.relay(self, server, self.until)
         return True
 
@@ -300,8 +310,13 @@
         relay.ended = True
         if outcome in (Outcome.FULL, Outcome.UNREACHED, Outcome.UNSENT):
             relay.may_have_run = False
+        relay.server.out.remove((self, relay))
         relay.server.heard(report)
-        relay.server.relay_ended(outcome, self.umpire.ratio(self.product.index, outcome, took))
+        if outcome in (Outcome.HANDLED, Outcome.ERRORED):
+            self.umpire.answers.append(self.umpire.host.clock)
+        if outcome is Outcome.HANDLED:
+            self.usual.add(took)
+        relay.server.relay_ended(outcome, took / self.usual.mean())
         self.umpire.judge(self, relay, outcome, took)
         if outcome is Outcome.HANDLED and self.key and self.umpire.on_trial(relay.build):
             self.umpire.keys[self.key] = relay.build
@@ -320,18 +335,11 @@
 
     def __init__(self, charter: Charter) -> None:
         self.charter = charter
-        self.taken: deque[float] = deque()
-        self.sent: deque[float] = deque()
-
-    def count(self, now: float) -> int:
-        while self.taken and self.taken[0] <= now - self.charter.window + SLIP:
-            self.taken.popleft()
-        return len(self.taken)
+        self.taken, self.sent = Times(), Times()
 
     def left(self, now: float, cap: float) -> float:
-        while self.sent and self.sent[0] < now - self.charter.window - SLIP:
-            self.sent.popleft()
-        return self.charter.free + cap * self.count(now) - len(self.sent) if cap > 0 else 0.0
+        start, free = now - self.charter.window, self.charter.free if cap > 0 else 0.0
+        return free + cap * self.taken.since(start + SLIP) - self.sent.since(start - SLIP)
 
 
 class Trial:
@@ -339,8 +347,7 @@
 
     def __init__(self, umpire: Umpire, build: int, stage: int, phase: Phase, began: float) -> None:
         self.umpire, self.build, self.stage, self.phase, self.began = umpire, build, stage, phase, began
-        self.before: Samples = {}
-        self.fresh: Samples = {}
+        self.before, self.fresh = dict[int, Sample](), dict[int, Sample]()
         same = umpire.trial if umpire.trial and umpire.trial.build == build else None
         # What was seen of this build in its earlier stages: faults are too rare to forget at each stage, and
         # where the earlier servers are replaced their last sample stands for them.
@@ -387,24 +394,18 @@
     def __init__(self, charter: Charter, host: Host, seed: int) -> None:
         self.charter, self.host, self.seed = charter, host, seed
         self.draws = self.round = 0
-        self.servers: list[Server] = []
-        self.waiting: list[Transaction] = []
+        self.servers, self.waiting = list[Server](), list[Transaction]()
         self.usual = [Pace(PRIOR * p.target) for p in charter.products]
         self.keys: dict[int, int] = {}
         self.allowances = [Allowance(charter) for _ in (charter.products if charter.by_product else (0,))]
-        self.recent: deque[float] = deque(maxlen=RECENT)
-        self.answers: deque[float] = deque()
-        self.calm: Samples = {}
-        self.lately: Samples = {}
-        self.first_tries: deque[float] = deque()
-        self.calm_asked = 0
+        self.taken, self.answers, self.first_tries = Times(), Times(), Times()
+        self.calm, self.lately, self.calm_asked = dict[int, Sample](), dict[int, Sample](), 0
         # where any one vote decides, the chances of a false one add up over the umpires
         self.level = LEVEL / max(1, charter.umpires) if charter.control is not Control.SHARE else LEVEL
         self.shortest = min((p.target for p in charter.products), default=1.0)
         self.build, self.stage, self.phase, self.cap = -1, 0, Phase.RELEASED, 0.0
         self.trial: Trial | None = None
-        self.asking = ASK_AGAIN[0]
-        self.informed = not charter.must_ask
+        self.asking, self.informed = ASK_AGAIN[0], not charter.must_ask
         if charter.must_ask:
             self.watch()
         host.wake(BEAT, self.beat)
@@ -413,8 +414,6 @@
         self.draws += 1
         return crc32(b"%d.%d" % (self.seed, self.draws)) / 2**32
 
-    # The roster.
-
     def meet(self, address: bytes) -> Server:
         server = Server(self, address)
         self.servers.append(server)
@@ -437,8 +436,6 @@
             self.asking = min(ASK_AGAIN[1], self.asking * 1.5)
         self.host.wake(self.asking * (0.75 + 0.5 * self.chance()), self.watch)
 
-    # The release.
-
     def release_news(self, age: float, cap: float, build: int, stage: int, phase: Phase) -> None:
         if build < self.build:
             return  # news of a build that a later one has followed
@@ -448,23 +445,21 @@
         self.build, self.stage, self.phase, self.cap = build, stage, phase, cap
         if not moved:
             return
-        known = self.trial is not None and self.trial.build == build
-        judged = phase is Phase.TRIAL or (phase is Phase.RELEASED and known)
+        seen = self.trial is not None and self.trial.build == build
+        judged = phase is Phase.TRIAL or (phase is Phase.RELEASED and seen)
         self.trial = Trial(self, build, stage, phase, self.host.clock - age) if judged else None
 
     def vote_answered(self, receipt: Receipt) -> None:
         trial, now = self.trial, self.host.clock
-        if trial and trial.cast_at:
-            if receipt is Receipt.COUNTED:
-                trial.ask_at = now + RENEW * self.charter.vote_life
-            else:  # an unknown or moot vote may count later: it is cast again, as it can only say the same
-                trial.ask_at = now + VOTE_PAUSE * (0.75 + 0.5 * self.chance())
+        if trial and trial.cast_at:  # one that did not count, or may have, is cast again
+            soon = VOTE_PAUSE * (0.75 + 0.5 * self.chance())
+            trial.ask_at = now + (RENEW * self.charter.vote_life if receipt is Receipt.COUNTED else soon)
 
     def tallied(self, build: int, product: int, count: int, errored: int, mean: float, age: float) -> None:
-        pass
+        """Own outcomes are the evidence; the platform's sample of all is not used."""
 
     def neighbour_said(self, neighbour: int, text: bytes) -> None:
-        pass
+        """Own outcomes are the evidence; nothing is told to neighbours."""
 
     def judge(self, transaction: Transaction, relay: Relay, outcome: Outcome, took: float) -> None:
         """Only answers, errors and lateness speak of a build; the rest speaks of a server or this umpire."""
@@ -479,9 +474,7 @@
         self.lately.setdefault(product, Sample()).add(share, LATELY)
 
     def asked(self) -> int:
-        while self.first_tries and self.first_tries[0] < self.host.clock - ASKED_OVER:
-            self.first_tries.popleft()
-        return len(self.first_tries)
+        return self.first_tries.since(self.host.clock - ASKED_OVER)
 
     def consider(self) -> None:
         """Look at the test and keep the vote standing."""
@@ -501,18 +494,17 @@
         one and late, so that the newest listed start alone tells too little."""
         ready = [s for s in self.servers if s.state is Listed.READY]
         fresh = [s.since for s in ready if s.build == trial.build]
+        last = len(self.charter.shares) - 1
         places = len(ready) if self.charter.replaces else len(ready) - len(fresh)
-        complete = len(fresh) >= max(1, int(self.charter.shares[trial.stage] * places + 0.5))
+        complete = len(fresh) >= max(1, int(self.charter.shares[min(trial.stage, last)] * places + 0.5))
         return (complete or self.host.clock - trial.began >= LONGEST_START + PATIENT) and bool(fresh) and (
             self.host.clock - max(fresh) >= PATIENT)
 
-    # Transactions.
-
     def take(self, number: int, product: int, tenant: int, effort: float | None, until: float, key: int,
              again: bool) -> Transaction:
         transaction = Transaction(self, number, product, tenant, until, key)
         self.allowance(transaction).taken.append(self.host.clock)
-        self.recent.append(self.host.clock)
+        self.taken.append(self.host.clock)
         if not again:
             self.first_tries.append(self.host.clock)
         if not transaction.dispatch():
@@ -524,30 +516,22 @@
 
     def on_trial(self, build: int) -> bool:
         if self.build < 0:  # no news yet: whatever follows the earliest build listed may be on trial
-            return build > min(s.build for s in self.servers if s.state is Listed.READY)
+            return build > min((s.build for s in self.servers if s.state is Listed.READY), default=build)
         return build > self.build or (build == self.build and self.phase is not Phase.RELEASED)
 
     def may_expose(self, transaction: Transaction, build: int) -> bool:
         """Whether one more relay at a build on trial keeps the rule on exposure."""
-        known = build == self.build
-        cap = self.cap if known else self.charter.caps[0] if self.charter.caps else 0.0
-        stage = self.stage if known else 0
-        if stage < self.charter.guarded_stages and transaction.product.repeat is not Repeat.REDOABLE:
-            return False
-        return self.allowance(transaction).left(self.host.clock, cap) >= 1
-
-    def exposed(self, transaction: Transaction, server: Server) -> None:
-        if self.on_trial(server.build):
-            self.allowance(transaction).sent.append(self.host.clock)
+        told = (self.stage, self.cap) if build == self.build else (0, self.charter.caps[0])
+        guarded = told[0] < self.charter.guarded_stages and transaction.product.repeat is not Repeat.REDOABLE
+        return not guarded and self.allowance(transaction).left(self.host.clock, told[1]) >= 1
 
     def choose(self, transaction: Transaction) -> Server | None:
         ready = [s for s in self.servers
                  if s.state is Listed.READY and transaction.may_go(s) and s.may_push()]
         tried = [r.server for r in transaction.relays]
-        now = self.host.clock
         if self.charter.one_way and self.phase in (Phase.TRIAL, Phase.RELEASED):
             ready = [s for s in ready if s.build >= self.keys.get(transaction.key, 0)]
-        ready = ([s for s in ready if s not in tried and s.rest_until <= now]
+        ready = ([s for s in ready if s not in tried and s.awake()]
                  or [s for s in ready if s not in tried] or ready)
         news = [s for s in ready if self.on_trial(s.build) and self.may_expose(transaction, s.build)]
         olds = [s for s in ready if not self.on_trial(s.build)]
@@ -560,42 +544,37 @@
         """Two random choices, weighted by warmth, so that a cold server gets no more than its warm peers."""
         return min((self.draw(servers) for _ in range(2)), key=Server.cost)
 
-    def draw(self, servers: Iterable[Server]) -> Server:
-        weights = [(s, s.warmth()) for s in servers]
-        point = self.chance() * sum(w for _, w in weights)
-        for server, weight in weights:
-            point -= weight
-            if point < 0:
-                return server
-        return weights[-1][0]
-
-    def ratio(self, product: int, outcome: Outcome, took: float) -> float:
-        usual = self.usual[product]
-        if outcome is Outcome.HANDLED:
-            usual.add(took)
-        if outcome in (Outcome.HANDLED, Outcome.ERRORED):
-            self.answers.append(self.host.clock)
-        return took / usual.mean()
+    def draw(self, servers: Sequence[Server]) -> Server:
+        edges = list(accumulate(s.warmth() for s in servers))
+        return servers[min(bisect_left(edges, self.chance() * edges[-1]), len(servers) - 1)]
 
     def has_room(self) -> bool:
         """Guards against overload of any cause (bursts, slow or lost servers, retry storms): open relays are
         held to what the servers answer within part of the shortest target time, so that what is sent is
         answered in time and the rest waits here, where its denial costs nothing. Harms: a sudden rise in
         traffic after a lull waits for a moment."""
-        while self.answers and self.answers[0] < self.host.clock - RATE_OVER:
-            self.answers.popleft()
-        awake = [s for s in self.servers if s.state is Listed.READY and s.rest_until <= self.host.clock]
+        awake = [s for s in self.servers if s.awake()]
         few = FEW_OPEN * (1 + len(awake) / max(1, self.charter.umpires))
-        timely = len(self.answers) / RATE_OVER * QUEUE * self.shortest
-        return sum(s.open for s in awake) < max(few, timely)
+        timely = self.answers.since(self.host.clock - RATE_OVER) / RATE_OVER * QUEUE * self.shortest
+        return sum(len(s.out) for s in awake) < max(few, timely)
 
     def serve_waiting(self) -> None:
         """The waiting go by revenue for their work, then the newest first: it has the most time left."""
         waiting, self.waiting = self.waiting, []
-        waiting.sort(key=lambda t: (-t.product.revenue / self.usual[t.product.index].mean(), -t.taken))
+        waiting.sort(key=lambda t: (-t.product.revenue / t.usual.mean(), -t.taken))
         self.waiting = [t for t in waiting if not t.closed and not t.dispatch()] + self.waiting
 
+    def leave_stalled(self) -> None:
+        """Relays that a stalled server holds go elsewhere where their product lets them."""
+        for server in [s for s in self.servers if s.stalled()]:
+            server.rest(2)
+            others = [s for s in self.servers if s.awake()]
+            for transaction, relay in server.out if self.charter.may_withdraw else ():
+                if not transaction.closed and any(transaction.may_go(s) for s in others):
+                    self.host.withdraw(transaction, transaction.relays.index(relay))
+
     def beat(self) -> None:
+        self.leave_stalled()
         self.serve_waiting()
         self.consider()
         self.host.wake(BEAT, self.beat)
