--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -30,6 +30,7 @@
 LATELY = 50.0  # outcomes of a product after which the latest sample is halved; some seconds' worth
 ASKED_OVER = 4.0  # s over which first tries are counted, some tens of them, to tell load from slowness
 BUSIER = 1.4  # times the calm traffic from which slowness everywhere may be the load itself
+AGREE = 0.6  # share of the trial servers seen that must be slow for the build to be: most of them
 LEAN = 1.0  # log of the evidence against a build above which the least sample votes nothing
 YOUNG = 3.0  # s after its start in which a server gives no evidence; the design's
 PATIENT = 3.3  # s after the newest start of a stage before an on: its clock starts 1 s later and runs for 2
@@ -205,12 +206,12 @@
         return bool(self.out) and self.rest_until <= now and (
             now - max(self.out[0][1].at, self.heard_at) > max(REST, STALL * self.out[0][0].usual.mean()))
 
-    def relay_ended(self, outcome: Outcome, ratio: float) -> None:
+    def relay_ended(self, outcome: Outcome, ratio: float, old_enough: bool) -> None:
         if outcome in (Outcome.HANDLED, Outcome.ERRORED, Outcome.FULL):
             self.heard_at = self.umpire.host.clock
         if outcome in (Outcome.HANDLED, Outcome.ERRORED):
             self.silent = 0
-            if outcome is Outcome.HANDLED:
+            if outcome is Outcome.HANDLED and old_enough:
                 self.pace.add(ratio)
         elif outcome in (Outcome.UNREACHED, Outcome.BROKEN, Outcome.LATE):
             # Guards against servers that are dead, cut off or stalled while the roster calls them ready.
@@ -316,7 +317,7 @@
             self.umpire.answers.append(self.umpire.host.clock)
         if outcome is Outcome.HANDLED:
             self.usual.add(took)
-        relay.server.relay_ended(outcome, took / self.usual.mean())
+        relay.server.relay_ended(outcome, took / self.usual.mean(), relay.old_enough)
         self.umpire.judge(self, relay, outcome, took)
         if outcome is Outcome.HANDLED and self.key and self.umpire.on_trial(relay.build):
             self.umpire.keys[self.key] = relay.build
@@ -372,7 +373,8 @@
         faults = doubts(self.all_before, self.all_fresh, (FAILED,))
         slow = 0.0 if released else doubts(before, self.fresh, range(FAILED))
         surely = log(2 * FAILED / level)
-        if wide - around > MARGIN or faults > log(2 / level) or slow > surely:
+        agreed = self.agreed()
+        if wide - around > MARGIN or faults > log(2 / level) or (slow > surely and agreed):
             return Verdict.BACK
         # Guards against a build that slows all servers in step with its traffic, which leaves no gap: all
         # relays lately against those from before it was offered, unless more is asked for. A shared
@@ -382,10 +384,17 @@
             self.slow_since = now
         elif everywhere > surely and now - self.slow_since > SLOW_FOR:
             return Verdict.BACK
-        if (settled and (wide + around < TOLERANCE or n >= LEAST) and max(faults, slow) < LEAN
-                and self.slow_since == now):
-            return Verdict.ON
-        return Verdict.NONE
+        sound = faults < LEAN and not (agreed and slow >= LEAN) and self.slow_since == now
+        return Verdict.ON if settled and sound and (wide + around < TOLERANCE or n >= LEAST) else Verdict.NONE
+
+    def agreed(self) -> bool:
+        """Guards against blaming the build for one slow machine (a noisy neighbour, pauses): two at least, and
+        most of those seen, must be slower than the middle one of the others. Harms: a lone slow trial server
+        proves nothing, so a slow build may reach its second stage."""
+        seen = [s for s in self.umpire.servers if s.state is Listed.READY and s.pace.n > 2]
+        others = sorted(s.pace.mean() for s in seen if s.build != self.build) or [1.0]
+        fresh = [s.pace.mean() > SLOWER * others[len(others) // 2] for s in seen if s.build == self.build]
+        return sum(fresh) >= max(2, AGREE * len(fresh))
 
 
 class Umpire:
