--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -265,23 +265,20 @@
     def may_go(self, server: Server) -> bool:
         """Whether no effect can happen twice if this transaction goes to that server now."""
         first = self.may_have_run()
-        if first is None or self.product.repeat is Repeat.REDOABLE:
-            return True
-        if self.product.repeat is Repeat.IRREVERSIBLE:
-            return False
+        if first is None or self.product.repeat is not Repeat.LABELLED:
+            return first is None or self.product.repeat is Repeat.REDOABLE
         same = {Group.ALL: True, Group.ZONE: server.zone == first.zone, Group.CELL: server.cell == first.cell}
         return same[self.product.group] and self.umpire.host.clock < first.at + self.product.window - SLIP
 
     def close(self) -> None:
         self.closed = True
-        if (self.may_have_run() is None or self.product.repeat is Repeat.REDOABLE
-                or (self.product.repeat is Repeat.LABELLED and self.product.group is Group.ALL)):
-            self.umpire.host.deny(self, self.umpire.charter.longest_stay_away)
-        else:
-            self.umpire.host.error(self)
-
-    def dispatch(self) -> bool:
-        """Send, wait (False) or give up."""
+        dropped = self.product.repeat is Repeat.LABELLED and self.product.group is Group.ALL
+        if self.may_have_run() is None or self.product.repeat is Repeat.REDOABLE or dropped:
+            return self.umpire.host.deny(self, self.umpire.charter.longest_stay_away)
+        self.umpire.host.error(self)
+
+    def dispatch(self) -> None:
+        """Send, give up or wait."""
         umpire, now = self.umpire, self.umpire.host.clock
         # At least WAIT is waited, whatever is usual: guards against a product that was slow for a while being
         # denied for good, as nothing sent would show that it is quick again.
@@ -290,11 +287,10 @@
         hopeless = now > self.taken + spare and not (self.relays and self.product.late_share)
         if (hopeless or now >= self.until - LAST_CALL or len(self.relays) >= umpire.charter.most_relays
                 or not any(self.may_go(s) for s in umpire.servers)):
-            self.close()
-            return True
+            return self.close()
         server = umpire.choose(self) if umpire.has_room() else None
         if server is None:
-            return False
+            return umpire.waiting.append(self)
         if umpire.on_trial(server.build):
             umpire.allowance(self).sent.append(now)
         self.relays.append(Relay(server, now))
@@ -303,7 +299,6 @@
         server.sent.since(now - umpire.charter.fall_for)
         server.rest(0)
         umpire.host.relay(self, server, self.until)
-        return True
 
     def relay_ended(self, number: int, outcome: Outcome, final: bool, took: float,
                     report: Sequence[float]) -> None:
@@ -322,10 +317,9 @@
         if outcome is Outcome.HANDLED and self.key and self.umpire.on_trial(relay.build):
             self.umpire.keys[self.key] = relay.build
         self.closed = self.closed or final
-        if not self.closed and all(r.ended for r in self.relays) and not self.dispatch():
-            self.umpire.waiting.append(self)
-        if self.umpire.waiting:
-            self.umpire.serve_waiting()
+        if not self.closed and all(r.ended for r in self.relays):
+            self.dispatch()
+        self.umpire.serve_waiting()
 
     def client_left(self) -> None:
         self.closed = True
@@ -388,9 +382,9 @@
         return Verdict.ON if settled and sound and (wide + around < TOLERANCE or n >= LEAST) else Verdict.NONE
 
     def agreed(self) -> bool:
-        """Guards against blaming the build for one slow machine (a noisy neighbour, pauses): two at least, and
-        most of those seen, must be slower than the middle one of the others. Harms: a lone slow trial server
-        proves nothing, so a slow build may reach its second stage."""
+        """Guards against blaming the build for one slow machine (a noisy neighbour, pauses): two at least and
+        most of those seen must be slower than the middle one of the others. Harms: a slow build may reach its
+        second stage, as a lone trial server proves nothing."""
         seen = [s for s in self.umpire.servers if s.state is Listed.READY and s.pace.n > 2]
         others = sorted(s.pace.mean() for s in seen if s.build != self.build) or [1.0]
         fresh = [s.pace.mean() > SLOWER * others[len(others) // 2] for s in seen if s.build == self.build]
@@ -506,8 +500,8 @@
         last = len(self.charter.shares) - 1
         places = len(ready) if self.charter.replaces else len(ready) - len(fresh)
         complete = len(fresh) >= max(1, int(self.charter.shares[min(trial.stage, last)] * places + 0.5))
-        return (complete or self.host.clock - trial.began >= LONGEST_START + PATIENT) and bool(fresh) and (
-            self.host.clock - max(fresh) >= PATIENT)
+        complete = complete or self.host.clock - trial.began >= LONGEST_START + PATIENT
+        return complete and self.host.clock - max(fresh, default=inf) >= PATIENT
 
     def take(self, number: int, product: int, tenant: int, effort: float | None, until: float, key: int,
              again: bool) -> Transaction:
@@ -516,8 +510,7 @@
         self.taken.append(self.host.clock)
         if not again:
             self.first_tries.append(self.host.clock)
-        if not transaction.dispatch():
-            self.waiting.append(transaction)
+        transaction.dispatch()
         return transaction
 
     def allowance(self, transaction: Transaction) -> Allowance:
@@ -559,9 +552,8 @@
 
     def has_room(self) -> bool:
         """Guards against overload of any cause (bursts, slow or lost servers, retry storms): open relays are
-        held to what the servers answer within part of the shortest target time, so that what is sent is
-        answered in time and the rest waits here, where its denial costs nothing. Harms: a sudden rise in
-        traffic after a lull waits for a moment."""
+        held to what is answered within part of the shortest target time; the rest waits here, where its
+        denial costs no server anything. Harms: a sudden rise in traffic after a lull waits for a moment."""
         awake = [s for s in self.servers if s.awake()]
         few = FEW_OPEN * (1 + len(awake) / max(1, self.charter.umpires))
         timely = self.answers.since(self.host.clock - RATE_OVER) / RATE_OVER * QUEUE * self.shortest
@@ -571,7 +563,8 @@
         """The waiting go by revenue for their work, then the newest first: it has the most time left."""
         waiting, self.waiting = self.waiting, []
         waiting.sort(key=lambda t: (-t.product.revenue / t.usual.mean(), -t.taken))
-        self.waiting = [t for t in waiting if not t.closed and not t.dispatch()] + self.waiting
+        for transaction in [t for t in waiting if not t.closed]:
+            transaction.dispatch()
 
     def leave_stalled(self) -> None:
         """Relays that a stalled server holds go elsewhere where their product lets them."""
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,115 @@
+"""A slow, plain model of the five rules beside the module, on generated histories."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from helpers import Desk
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from stepsail.balance import Server, Transaction
+from stepsail.interface import Group, Outcome, Phase, Repeat
+
+NEVER_RAN = {Outcome.FULL, Outcome.UNREACHED, Outcome.UNSENT}
+
+
+class Model(Desk):
+    """Checks each relay and final answer against the rules as they are worded, from the whole history."""
+
+    def __init__(self, **changed: Any) -> None:
+        self.history: dict[int, list[dict[str, Any]]] = {}
+        self.answered: set[int] = set()
+        self.taken_at: list[tuple[float, int]] = []
+        self.trial_at: list[tuple[float, int]] = []
+        self.told = (2, 0, 0.2)
+        super().__init__(builds=(1, 1, 1, 2, 2), **changed)
+
+    def past(self, transaction: Transaction) -> list[dict[str, Any]]:
+        return [r for r in self.history.setdefault(transaction.number, []) if r["end"] not in NEVER_RAN]
+
+    def relay(self, transaction: Any, server: Any, until: float) -> None:
+        super().relay(transaction, server, until)
+        product = transaction.product
+        assert transaction.number not in self.answered and self.clock < transaction.until
+        assert server.state == 1
+        ran = self.past(transaction)
+        assert all(r["end"] is not None for r in ran)  # no second copies here
+        if ran and product.repeat is not Repeat.REDOABLE:
+            assert product.repeat is Repeat.LABELLED and self.clock <= ran[0]["at"] + product.window
+            assert product.group is not Group.ZONE or ran[0]["server"].zone == server.zone
+        build, stage, cap = self.told
+        if server.build >= build:
+            assert cap > 0 and (stage >= 1 or product.repeat is Repeat.REDOABLE)
+            self.trial_at.append((self.clock, product.index))
+            same = [i for i in range(3) if not self.umpire.charter.by_product or i == product.index]
+            sent = sum(at > self.clock - 3.0 and p in same for at, p in self.trial_at)
+            assert sent <= 2.0 + cap * sum(at > self.clock - 3.0 and p in same for at, p in self.taken_at)
+        relays = self.history.setdefault(transaction.number, [])
+        relays.append({"server": server, "at": self.clock, "end": None})
+
+    def deny(self, transaction: Any, stay_away: float) -> None:
+        assert transaction.number not in self.answered
+        assert not self.past(transaction) or transaction.product.repeat is Repeat.REDOABLE
+        self.answered.add(transaction.number)
+
+    def error(self, transaction: Any) -> None:
+        assert transaction.number not in self.answered
+        self.answered.add(transaction.number)
+
+    def end(self, transaction: Transaction, at: int, outcome: Outcome) -> None:
+        relay = self.history[transaction.number][at]
+        if relay["end"] is None:
+            relay["end"] = outcome
+            final = outcome is Outcome.HANDLED and transaction.number not in self.answered
+            if final:
+                self.answered.add(transaction.number)
+            transaction.relay_ended(at, outcome, final, self.clock - relay["at"], ())
+
+
+STEPS = st.lists(st.tuples(st.sampled_from("ttttttteeeeewwrdsnb"), st.integers(0, 7), st.integers(0, 4)),
+                 max_size=120)
+
+
+@settings(derandomize=True, max_examples=120, deadline=None)
+@given(STEPS, st.booleans())
+def test_the_module_does_only_what_the_plain_model_allows(steps: list[tuple[str, int, int]],
+                                                          by_product: bool) -> None:
+    model = Model(by_product=by_product)
+    model.news(2, 0, Phase.TRIAL, 0.2)
+    taken: list[Transaction] = []
+    for step, pick, server in steps:
+        if step == "t":
+            model.taken_at.append((model.clock, pick % 3))
+            lasts = 0.3 + 0.4 * server
+            taken.append(model.umpire.take(len(taken), pick % 3, 0, None, model.clock + lasts, 0, False))
+        elif step == "e" and taken:
+            transaction = taken[-1 - pick % len(taken)]
+            if model.history.get(transaction.number):
+                model.end(transaction, len(model.history[transaction.number]) - 1, Outcome(pick))
+        elif step == "w":
+            model.wait(0.05 * (pick + 1))
+        elif step == "r" or step == "d":
+            handle: Server = model.servers[server]
+            handle.listed(handle.zone, handle.cell, handle.build, int(step == "r"), model.clock - pick, 1.0)
+            model.umpire.roster_read(False, False)
+        elif step == "s":
+            model.told = (2, 1, 0.6)
+            model.news(2, 1, Phase.TRIAL, 0.6)
+        elif step == "b":
+            model.told = (2, 1, 0.0)
+            model.news(2, 1, Phase.REVERTING, 0.0)
+        elif step == "n" and taken:
+            taken[pick % len(taken)].client_left()
+            model.answered.add(taken[pick % len(taken)].number)
+        for transaction in taken:  # a relay ends late at the client's own time
+            for at, relay in enumerate(model.history.get(transaction.number, [])):
+                if relay["end"] is None and model.clock >= transaction.until:
+                    model.end(transaction, at, Outcome.LATE)
+    for transaction in taken:
+        for at, relay in enumerate(model.history.get(transaction.number, [])):
+            if relay["end"] is None:
+                model.clock = max(model.clock, transaction.until)
+                model.end(transaction, at, Outcome.LATE)
+    model.wait(3.0)
+    assert {t.number for t in taken} == model.answered
