--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -44,9 +44,9 @@
 REST = 0.5  # s; first rest of a silent server, doubled for each further relay lost: about a stall's length
 MOST_SILENT = 8  # lost relays' worth of silence remembered: the longest rest is 4 s, about a restart's length
 PACE_KEPT = 16  # outcomes after which a server's or a product's pace is halved: a second or two of traffic
-QUEUE = 0.6  # share of the shortest target time that open relays may need at the rate of answers
+QUEUE = 0.5  # share of the shortest target time that open relays may need at the rate of answers
 RATE_OVER = 2.0  # s over which answers are counted for that rate: some tens of answers, many times a stall
-FEW_OPEN = 3.0  # relays that each umpire, and each server from all, may have open however slow answers are
+FEW_OPEN = 2.5  # relays that each umpire, and each server from all, may have open however slow answers are
 STALL = 4.0  # usual times without a word from a server that holds relays before it counts as stalled
 SPARE = 2.0  # usual times that a waiting one must have left to its target; at once it is as likely late
 WAIT = 0.25  # share of its target time that a transaction may always wait for room
@@ -248,8 +248,9 @@
     """A transaction taken; it owes its client exactly one final answer."""
 
     def __init__(self, umpire: Umpire, number: int, product: int, tenant: int, until: float,
-                 key: int) -> None:
+                 key: int, again: bool) -> None:
         self.umpire, self.number, self.tenant, self.until, self.key = umpire, number, tenant, until, key
+        self.again = again
         self.product = umpire.charter.products[product]
         self.relays: list[Relay] = []
         self.closed, self.taken = False, umpire.host.clock
@@ -505,7 +506,7 @@
 
     def take(self, number: int, product: int, tenant: int, effort: float | None, until: float, key: int,
              again: bool) -> Transaction:
-        transaction = Transaction(self, number, product, tenant, until, key)
+        transaction = Transaction(self, number, product, tenant, until, key, again)
         self.allowance(transaction).taken.append(self.host.clock)
         self.taken.append(self.host.clock)
         if not again:
@@ -562,7 +563,7 @@
     def serve_waiting(self) -> None:
         """The waiting go by revenue for their work, then the newest first: it has the most time left."""
         waiting, self.waiting = self.waiting, []
-        waiting.sort(key=lambda t: (-t.product.revenue / t.usual.mean(), -t.taken))
+        waiting.sort(key=lambda t: (t.again, -t.product.revenue / t.usual.mean(), -t.taken))
         for transaction in [t for t in waiting if not t.closed]:
             transaction.dispatch()
 
