Umpires add their neighbours' evidence; servers that err are rested, not blamed on the build

Errors now rest a server as silence does, and a build is blamed only if doubt remains without its worst server. Where neighbours may be told, umpires add their log evidence, as ratios of separate outcomes multiply.

--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -13,6 +13,8 @@
 from collections.abc import Sequence
 from itertools import accumulate
 from math import exp, inf, log, sqrt
+from operator import add
+from re import compile
 from zlib import crc32
 
 from stepsail.interface import Charter, Control, Group, Host, Listed, Outcome, Phase, Receipt, Repeat, Verdict
@@ -24,13 +26,16 @@
 TOLERANCE = 0.1  # gap plus radius that votes on; the design's
 LEAST = 6  # new-build outcomes that vote on unless in doubt; the later stages, with more of them, judge again
 SLOWER = 1.35  # times that a good build's relays may take longer: slow machines, cold caches, an uneven load
-FAULTS = 0.006  # share of relays that fail or are contested on any build; a few times what sound servers show
+FAULTS = 0.004  # share of relays that fail or are contested on any build; a few times what sound servers show
 GUESSES = (0.04, 0.12, 0.35, 0.75)  # excess shares that a build is tried for: rare faults to a failed product
 SLOW_FOR = 5.0  # s that all servers' slowness must outlast on a trial; longer than most bursts
 LATELY = 50.0  # outcomes of a product after which the latest sample is halved; some seconds' worth
 ASKED_OVER = 4.0  # s over which first tries are counted, some tens of them, to tell load from slowness
 BUSIER = 1.4  # times the calm traffic from which slowness everywhere may be the load itself
 AGREE = 0.6  # share of the trial servers seen that must be slow for the build to be: most of them
+TELL_EVERY = 0.5  # s between words to the neighbours; a few dozen bytes, next to nothing in price
+TOLD_FOR = 2.0  # s that a neighbour's word is used; a few of them
+HEARD = compile(rb"\d{1,5}( -?\d{1,6}\.\d){3}")  # what neighbours say: build, faults, spread, everywhere
 LEAN = 1.0  # log of the evidence against a build above which the least sample votes nothing
 YOUNG = 3.0  # s after its start in which a server gives no evidence; the design's
 PATIENT = 3.3  # s after the newest start of a stage before an on: its clock starts 1 s later and runs for 2
@@ -63,8 +68,6 @@
 class Sample:
     """Relay times of one build and product as shares of the abandon time, in few bins; a failed one is 1."""
 
-    __slots__ = ("bins", "n")
-
     def __init__(self) -> None:
         self.bins, self.n = [0.0] * (len(EDGES) + 1), 0.0
 
@@ -100,31 +103,40 @@
 def doubt(k: float, n: float, share: float) -> float:
     """Log of an always-valid evidence against `share` as the chance of what came k times in n: a mixture of
     likelihood ratios, which by Ville's inequality exceeds 1/level with a chance of at most the level."""
-    ratios = [k * log(1 + guess * (1 - share) / share) + (n - k) * log(1 - guess) for guess in GUESSES]
-    top = max(ratios)
-    return top + log(sum(exp(r - top) for r in ratios) / len(GUESSES))
+    return mean_of_logs([k * log(1 + g * (1 - share) / share) + (n - k) * log(1 - g) for g in GUESSES])
+
+
+def mean_of_logs(logs: Sequence[float]) -> float:
+    return max(logs) + log(sum(exp(x - max(logs)) for x in logs) / len(logs))
 
 
 def doubts(before: Samples, fresh: Samples, edges: Sequence[int]) -> float:
     """Guards against what the bands are too wide for at a trial's few outcomes: rare faults, one failing
     product, slowness. The same comparison at each edge by itself, where few outcomes tell much; a share that
-    SLOWER would explain is no doubt. Harms: a slow machine that is alone in its stage."""
+    SLOWER would explain is no doubt. The edges' mean is as valid as each. Harms: one slow machine alone."""
     both = [p for p in sorted(fresh) if p in before and fresh[p].n and before[p].n]
     n, m = sum(fresh[p].n for p in both), sum(before[p].n for p in both)
-    most = 0.0
+    logs = [0.0] if not both else []
     for edge in edges if both else ():
         k = sum(sum(fresh[p].bins[edge + 1:]) for p in both)
         share = sum(sum(before[p].bins[edge + 1:]) / before[p].n * fresh[p].n for p in both) / n
         share = min(0.99, max(FAULTS, share + sqrt(share * (1 - share) / m)) + 0.5 / m)
-        most = max(most, doubt(k, n, share if edge == FAILED else share ** (1 / SLOWER)))
-    return most
+        logs.append(doubt(k, n, share if edge == FAILED else share ** (1 / SLOWER)))
+    return mean_of_logs(logs)
+
+
+def merged(servers: Sequence[Server]) -> Samples:
+    """What was seen of some servers, as one sample a product."""
+    total: Samples = {}
+    for product, sample in ((p, x) for s in servers for p, x in s.seen.items()):
+        whole = total.setdefault(product, Sample())
+        whole.n, whole.bins = whole.n + sample.n, list(map(add, whole.bins, sample.bins))
+    return total
 
 
 class Pace:
     """How long relays take against what is usual for their product; old outcomes fade by halving."""
 
-    __slots__ = ("n", "total")
-
     def __init__(self, start: float = 1.0) -> None:
         self.n, self.total = 2.0, 2.0 * start
 
@@ -156,15 +168,18 @@
         self.state, self.round, self.open_then, self.silent, self.heard_at = Listed.GONE, 0, 0, 0, 0.0
         self.out: list[tuple[Transaction, Relay]] = []
         self.pace = Pace()
-        self.sent = Times()
+        self.sent, self.seen = Times(), dict[int, Sample]()
 
     def listed(self, zone: int, cell: int, build: int, state: int, since: float, size: float) -> None:
         if since != self.since or build != self.build:  # another process, or another machine at this address
-            self.pace, self.silent, self.rest_until, self.load = Pace(), 0, 0.0, 0.0
+            self.pace, self.silent, self.rest_until, self.load, self.seen = Pace(), 0, 0.0, 0.0, {}
         self.zone, self.cell, self.build, self.since = zone, cell, build, since
         self.state = Listed(state) if state in (0, 1) else Listed.GONE
         self.round = self.umpire.round
 
+    def faults(self) -> float:
+        return sum(x.bins[-1] for x in self.seen.values())
+
     def age(self) -> float:
         return self.umpire.host.clock - self.since if self.since > 0 else inf
 
@@ -209,13 +224,14 @@
     def relay_ended(self, outcome: Outcome, ratio: float, old_enough: bool) -> None:
         if outcome in (Outcome.HANDLED, Outcome.ERRORED, Outcome.FULL):
             self.heard_at = self.umpire.host.clock
-        if outcome in (Outcome.HANDLED, Outcome.ERRORED):
+        if outcome is Outcome.HANDLED:
             self.silent = 0
-            if outcome is Outcome.HANDLED and old_enough:
+            if old_enough:
                 self.pace.add(ratio)
-        elif outcome in (Outcome.UNREACHED, Outcome.BROKEN, Outcome.LATE):
-            # Guards against servers that are dead, cut off or stalled while the roster calls them ready.
-            self.rest(1 if outcome is Outcome.LATE else 2)
+        elif outcome in (Outcome.UNREACHED, Outcome.BROKEN, Outcome.LATE, Outcome.ERRORED):
+            # Guards against servers that are dead, cut off or stalled while the roster calls them ready, and
+            # against one that errs at once and so, never busy, draws transactions. Harms: bad luck of two.
+            self.rest(2 if outcome in (Outcome.UNREACHED, Outcome.BROKEN) else 1)
         elif outcome is Outcome.FULL:
             self.rest_until = self.umpire.host.clock + BEAT
 
@@ -228,7 +244,8 @@
         self.heard(report)
 
     def contested(self, product: int, since: float) -> None:
-        for side in self.umpire.trial.sides(self.build) if self.umpire.trial else ():
+        trial = self.umpire.trial
+        for side in (self.seen, *trial.sides(self.build)) if trial else ():
             if product in side:
                 side[product].contest()
 
@@ -236,8 +253,6 @@
 class Relay:
     """One relay of a transaction."""
 
-    __slots__ = ("at", "build", "cell", "ended", "may_have_run", "old_enough", "server", "zone")
-
     def __init__(self, server: Server, at: float) -> None:
         self.server, self.at = server, at
         self.build, self.zone, self.cell = server.build, server.zone, server.cell  # as they were when sent
@@ -345,18 +360,17 @@
         self.umpire, self.build, self.stage, self.phase, self.began = umpire, build, stage, phase, began
         self.before, self.fresh = dict[int, Sample](), dict[int, Sample]()
         same = umpire.trial if umpire.trial and umpire.trial.build == build else None
-        # What was seen of this build in its earlier stages: faults are too rare to forget at each stage, and
-        # where the earlier servers are replaced their last sample stands for them.
+        # Faults are too rare to forget at each stage, and where the earlier servers are replaced their last
+        # sample stands for them; the new build's servers keep their own.
         self.all_before: Samples = same.all_before if same else {}
-        self.all_fresh: Samples = same.all_fresh if same else {}
         self.slow_since: float = same.slow_since if same else umpire.host.clock
-        self.verdict = Verdict.NONE
-        self.cast_at = self.ask_at = 0.0
+        self.verdict, self.cast_at, self.ask_at, self.tell_at = Verdict.NONE, 0.0, 0.0, 0.0
+        self.found = (0.0, 0.0, 0.0)
 
     def sides(self, build: int) -> tuple[Samples, ...]:
         if build > self.build:
             return ()
-        return (self.fresh, self.all_fresh) if build == self.build else (self.before, self.all_before)
+        return (self.fresh,) if build == self.build else (self.before, self.all_before)
 
     def look(self, level: float, settled: bool) -> Verdict:
         released, now = self.phase is Phase.RELEASED, self.umpire.host.clock
@@ -365,22 +379,28 @@
         if not n or not m:
             return Verdict.NONE
         around = radius(n, level / 2) + radius(m, level / 2)
-        faults = doubts(self.all_before, self.all_fresh, (FAILED,))
+        # Guards against blaming the build for one server that errs: without the worst, doubt must remain.
+        mine = sorted((s for s in self.umpire.servers if s.build == self.build and s.seen), key=Server.faults)
+        faults = doubts(self.all_before, merged(mine), (FAILED,))
+        spread = doubts(self.all_before, merged(mine[:-1]), (FAILED,)) if len(mine) > 1 else faults
+        everywhere = doubts(self.umpire.calm, self.umpire.lately, range(FAILED))
+        self.found = (faults, spread, everywhere)
+        faults, spread, everywhere = self.umpire.pooled(self.build, self.found)
         slow = 0.0 if released else doubts(before, self.fresh, range(FAILED))
-        surely = log(2 * FAILED / level)
-        agreed = self.agreed()
-        if wide - around > MARGIN or faults > log(2 / level) or (slow > surely and agreed):
+        surely, agreed = log(2 / level), self.agreed()
+        faulty = faults > surely and spread > 0
+        if wide - around > MARGIN or faulty or (slow > surely and agreed):
             return Verdict.BACK
         # Guards against a build that slows all servers in step with its traffic, which leaves no gap: all
         # relays lately against those from before it was offered, unless more is asked for. A shared
         # dependency looks alike but ends: the umpire holds meanwhile. Harms: a good build where it does not.
-        everywhere = doubts(self.umpire.calm, self.umpire.lately, range(FAILED))
         if everywhere < surely / 2 or self.umpire.asked() > BUSIER * self.umpire.calm_asked:
             self.slow_since = now
         elif everywhere > surely and now - self.slow_since > SLOW_FOR:
             return Verdict.BACK
-        sound = faults < LEAN and not (agreed and slow >= LEAN) and self.slow_since == now
-        return Verdict.ON if settled and sound and (wide + around < TOLERANCE or n >= LEAST) else Verdict.NONE
+        sound = spread < LEAN and faults < surely / 2 and not (agreed and slow >= LEAN)
+        enough = wide + around < TOLERANCE or n >= LEAST
+        return Verdict.ON if settled and sound and enough and self.slow_since == now else Verdict.NONE
 
     def agreed(self) -> bool:
         """Guards against blaming the build for one slow machine (a noisy neighbour, pauses): two at least and
@@ -401,6 +421,7 @@
         self.servers, self.waiting = list[Server](), list[Transaction]()
         self.usual = [Pace(PRIOR * p.target) for p in charter.products]
         self.keys: dict[int, int] = {}
+        self.told: dict[int, tuple[float, int, list[float]]] = {}
         self.allowances = [Allowance(charter) for _ in (charter.products if charter.by_product else (0,))]
         self.taken, self.answers, self.first_tries = Times(), Times(), Times()
         self.calm, self.lately, self.calm_asked = dict[int, Sample](), dict[int, Sample](), 0
@@ -463,7 +484,17 @@
         """Own outcomes are the evidence; the platform's sample of all is not used."""
 
     def neighbour_said(self, neighbour: int, text: bytes) -> None:
-        """Own outcomes are the evidence; nothing is told to neighbours."""
+        if HEARD.fullmatch(text):
+            build, *found = text.split()
+            self.told[neighbour] = (self.host.clock, int(build), [float(x) for x in found])
+
+    def pooled(self, build: int, found: Sequence[float]) -> list[float]:
+        """Guards against evidence that no umpire has enough of by itself. Each umpire's own outcomes are its
+        own, so that their likelihood ratios multiply to one as valid. Harms: a trouble near one umpire alone
+        outweighed by the others; a lost message only makes this umpire judge on less."""
+        heard = [f for _, (at, of, f) in sorted(self.told.items())
+                 if of == build and at > self.host.clock - TOLD_FOR]
+        return [sum(column) for column in zip(found, *heard, strict=True)]
 
     def judge(self, transaction: Transaction, relay: Relay, outcome: Outcome, took: float) -> None:
         """Only answers, errors and lateness speak of a build; the rest speaks of a server or this umpire."""
@@ -473,7 +504,7 @@
             return
         share = took / transaction.product.abandon if outcome is Outcome.HANDLED else 1.0
         product, trial = transaction.product.index, self.trial
-        for side in trial.sides(relay.build) if trial else ():
+        for side in (relay.server.seen, *trial.sides(relay.build)) if trial else ():
             side.setdefault(product, Sample()).add(share)
         self.lately.setdefault(product, Sample()).add(share, LATELY)
 
@@ -489,6 +520,9 @@
             verdict = trial.look(self.level, trial.phase is Phase.TRIAL and self.settled(trial))
             if verdict is Verdict.BACK or self.charter.control is not Control.CLOCK:
                 trial.verdict = verdict
+        if self.charter.neighbours and now >= trial.tell_at:
+            trial.tell_at = now + TELL_EVERY
+            self.host.tell_neighbours(b"%d %.1f %.1f %.1f" % (trial.build, *trial.found))
         if trial.verdict is not Verdict.NONE and now >= trial.ask_at:
             self.host.vote(trial.build, trial.stage, trial.verdict)
             trial.cast_at, trial.ask_at = now, now + self.charter.vote_wait + VOTE_PAUSE
