--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -32,7 +32,6 @@
 LATELY = 50.0  # outcomes of a product after which the latest sample is halved; some seconds' worth
 ASKED_OVER = 4.0  # s over which first tries are counted, some tens of them, to tell load from slowness
 BUSIER = 1.4  # times the calm traffic from which slowness everywhere may be the load itself
-AGREE = 0.6  # share of the trial servers seen that must be slow for the build to be: most of them
 TELL_EVERY = 0.5  # s between words to the neighbours; a few dozen bytes, next to nothing in price
 TOLD_FOR = 2.0  # s that a neighbour's word is used; a few of them
 HEARD = compile(rb"\d{1,5}( -?\d{1,6}\.\d){3}")  # what neighbours say: build, faults, spread, everywhere
@@ -386,10 +385,8 @@
         everywhere = doubts(self.umpire.calm, self.umpire.lately, range(FAILED))
         self.found = (faults, spread, everywhere)
         faults, spread, everywhere = self.umpire.pooled(self.build, self.found)
-        slow = 0.0 if released else doubts(before, self.fresh, range(FAILED))
-        surely, agreed = log(2 / level), self.agreed()
-        faulty = faults > surely and spread > 0
-        if wide - around > MARGIN or faulty or (slow > surely and agreed):
+        surely = log(2 / level)
+        if wide - around > MARGIN or (faults > surely and spread > 0):
             return Verdict.BACK
         # Guards against a build that slows all servers in step with its traffic, which leaves no gap: all
         # relays lately against those from before it was offered, unless more is asked for. A shared
@@ -398,19 +395,10 @@
             self.slow_since = now
         elif everywhere > surely and now - self.slow_since > SLOW_FOR:
             return Verdict.BACK
-        sound = spread < LEAN and faults < surely / 2 and not (agreed and slow >= LEAN)
+        sound = spread < LEAN and faults < surely / 2
         enough = wide + around < TOLERANCE or n >= LEAST
         return Verdict.ON if settled and sound and enough and self.slow_since == now else Verdict.NONE
 
-    def agreed(self) -> bool:
-        """Guards against blaming the build for one slow machine (a noisy neighbour, pauses): two at least and
-        most of those seen must be slower than the middle one of the others. Harms: a slow build may reach its
-        second stage, as a lone trial server proves nothing."""
-        seen = [s for s in self.umpire.servers if s.state is Listed.READY and s.pace.n > 2]
-        others = sorted(s.pace.mean() for s in seen if s.build != self.build) or [1.0]
-        fresh = [s.pace.mean() > SLOWER * others[len(others) // 2] for s in seen if s.build == self.build]
-        return sum(fresh) >= max(2, AGREE * len(fresh))
-
 
 class Umpire:
     """Takes transactions and answers them, follows the roster and the release, and votes."""
