--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -33,13 +33,12 @@
 ASKED_OVER = 4.0  # s over which first tries are counted, some tens of them, to tell load from slowness
 BUSIER = 1.4  # times the calm traffic from which slowness everywhere may be the load itself
 TELL_EVERY = 0.5  # s between words to the neighbours; a few dozen bytes, next to nothing in price
-TOLD_FOR = 2.0  # s that a neighbour's word is used; a few of them
 HEARD = compile(rb"\d{1,5}( -?\d{1,6}\.\d){3}")  # what neighbours say: build, faults, spread, everywhere
 LEAN = 1.0  # log of the evidence against a build above which the least sample votes nothing
 YOUNG = 3.0  # s after its start in which a server gives no evidence; the design's
 PATIENT = 3.3  # s after the newest start of a stage before an on: its clock starts 1 s later and runs for 2
 LONGEST_START = 8.0  # s after its launch when a stage's clock starts though servers are missing
-RENEW = 0.7  # share of a vote's life after which it is cast again, early enough for one lost answer
+RENEW = 0.7  # share of a vote's life after which it is cast again, early enough for a lost answer
 VOTE_PAUSE = 0.5  # s before a vote that release control did not count is cast again; spares its allowance
 BEAT = 0.05  # s between looks at waiting transactions and at the vote; a small part of any target time
 LAST_CALL = BEAT + 0.02  # s before the abandon time when one waiting is answered: a beat, a few batches
@@ -54,6 +53,7 @@
 STALL = 4.0  # usual times without a word from a server that holds relays before it counts as stalled
 SPARE = 2.0  # usual times that a waiting one must have left to its target; at once it is as likely late
 WAIT = 0.25  # share of its target time that a transaction may always wait for room
+KEPT = 4000  # transactions counted at most in any window; more than one umpire takes in one
 COLD_FREE = 1.0  # relays that a cold server may get from each umpire beyond its share; one finds out it lives
 PRIOR = 0.2  # share of a product's target time taken as usual before anything was seen
 CROSSING = 0.5  # relays' worth of queue that a server near by may be longer before a far one is taken
@@ -110,9 +110,8 @@
 
 
 def doubts(before: Samples, fresh: Samples, edges: Sequence[int]) -> float:
-    """Guards against what the bands are too wide for at a trial's few outcomes: rare faults, one failing
-    product, slowness. The same comparison at each edge by itself, where few outcomes tell much; a share that
-    SLOWER would explain is no doubt. The edges' mean is as valid as each. Harms: one slow machine alone."""
+    """Guards against what the bands are too wide for at few outcomes: rare faults, one failing product. Each
+    edge is compared by itself, their mean is as valid; a share that SLOWER explains is no doubt."""
     both = [p for p in sorted(fresh) if p in before and fresh[p].n and before[p].n]
     n, m = sum(fresh[p].n for p in both), sum(before[p].n for p in both)
     logs = [0.0] if not both else []
@@ -125,7 +124,6 @@
 
 
 def merged(servers: Sequence[Server]) -> Samples:
-    """What was seen of some servers, as one sample a product."""
     total: Samples = {}
     for product, sample in ((p, x) for s in servers for p, x in s.seen.items()):
         whole = total.setdefault(product, Sample())
@@ -158,26 +156,19 @@
 
 
 class Server:
-    """One server as this umpire sees it."""
-
     def __init__(self, umpire: Umpire, address: bytes) -> None:
         self.umpire, self.address = umpire, address
-        self.zone = self.cell = self.build = 0
-        self.since = self.load = self.rest_until = 0.0
-        self.state, self.round, self.open_then, self.silent, self.heard_at = Listed.GONE, 0, 0, 0, 0.0
+        self.state, self.zone, self.cell, self.build, self.round = Listed.GONE, 0, 0, 0, 0
+        self.since = self.load = self.rest_until = self.heard_at = 0.0
+        self.open_then = self.silent = 0
         self.out: list[tuple[Transaction, Relay]] = []
-        self.pace = Pace()
-        self.sent, self.seen = Times(), dict[int, Sample]()
+        self.pace, self.sent, self.seen = Pace(), Times(), dict[int, Sample]()
 
     def listed(self, zone: int, cell: int, build: int, state: int, since: float, size: float) -> None:
         if since != self.since or build != self.build:  # another process, or another machine at this address
             self.pace, self.silent, self.rest_until, self.load, self.seen = Pace(), 0, 0.0, 0.0, {}
         self.zone, self.cell, self.build, self.since = zone, cell, build, since
-        self.state = Listed(state) if state in (0, 1) else Listed.GONE
-        self.round = self.umpire.round
-
-    def faults(self) -> float:
-        return sum(x.bins[-1] for x in self.seen.values())
+        self.state, self.round = Listed(state) if state in (0, 1) else Listed.GONE, self.umpire.round
 
     def age(self) -> float:
         return self.umpire.host.clock - self.since if self.since > 0 else inf
@@ -189,13 +180,12 @@
         return charter.cold_from + (1 - charter.cold_from) * warmed
 
     def may_push(self) -> bool:
-        """Guards against all umpires pushing a cold server over: each sends it no more than its warmth's part
-        of an even share of what it takes, so that the sum stays under what a warm server gets. Harms: a fleet
-        that is cold as a whole is filled slowly, and transactions wait."""
+        """Guards against all umpires pushing a cold server over: each sends it its warmth's part of an even
+        share of what it takes, at most. Harms: a fleet that is cold as a whole is filled slowly."""
         umpire, start = self.umpire, self.umpire.host.clock - self.umpire.charter.fall_for
         even = umpire.taken.since(start) / max(1, sum(s.state is Listed.READY for s in umpire.servers))
-        return self.age() >= umpire.charter.cold_for or (
-            self.sent.since(start) + 1 <= COLD_FREE + self.warmth() * even)
+        room = COLD_FREE + self.warmth() * even - self.sent.since(start)
+        return room >= 1 or self.age() >= umpire.charter.cold_for
 
     def cost(self) -> float:
         """What one more relay would wait for here, in relays of usual pace."""
@@ -205,10 +195,10 @@
 
     def heard(self, report: Sequence[float]) -> None:
         columns = self.umpire.charter.report_columns
-        held = next((c for c in ("rif", "q") if c in columns), None)
-        if held and len(report) == len(columns):
-            self.load = report[columns.index(held)] + (len(self.out) if held == "q" else 0)
-            self.open_then = len(self.out)
+        for held in ("q", "rif") if len(report) == len(columns) else ():
+            if held in columns:
+                self.load = report[columns.index(held)] + (len(self.out) if held == "q" else 0)
+                self.open_then = len(self.out)
 
     def awake(self) -> bool:
         return self.state is Listed.READY and self.rest_until <= self.umpire.host.clock
@@ -225,8 +215,7 @@
             self.heard_at = self.umpire.host.clock
         if outcome is Outcome.HANDLED:
             self.silent = 0
-            if old_enough:
-                self.pace.add(ratio)
+            self.pace.add(ratio if old_enough else 1.0)
         elif outcome in (Outcome.UNREACHED, Outcome.BROKEN, Outcome.LATE, Outcome.ERRORED):
             # Guards against servers that are dead, cut off or stalled while the roster calls them ready, and
             # against one that errs at once and so, never busy, draws transactions. Harms: bad luck of two.
@@ -250,8 +239,6 @@
 
 
 class Relay:
-    """One relay of a transaction."""
-
     def __init__(self, server: Server, at: float) -> None:
         self.server, self.at = server, at
         self.build, self.zone, self.cell = server.build, server.zone, server.cell  # as they were when sent
@@ -264,10 +251,8 @@
     def __init__(self, umpire: Umpire, number: int, product: int, tenant: int, until: float,
                  key: int, again: bool) -> None:
         self.umpire, self.number, self.tenant, self.until, self.key = umpire, number, tenant, until, key
-        self.again = again
-        self.product = umpire.charter.products[product]
-        self.relays: list[Relay] = []
-        self.closed, self.taken = False, umpire.host.clock
+        self.again, self.closed, self.taken = again, False, umpire.host.clock
+        self.product, self.relays = umpire.charter.products[product], list[Relay]()
         self.usual: Pace = umpire.usual[product]
 
     @property
@@ -293,10 +278,8 @@
         self.umpire.host.error(self)
 
     def dispatch(self) -> None:
-        """Send, give up or wait."""
         umpire, now = self.umpire, self.umpire.host.clock
-        # At least WAIT is waited, whatever is usual: guards against a product that was slow for a while being
-        # denied for good, as nothing sent would show that it is quick again.
+        # WAIT, whatever is usual: guards against a product that was slow for a while being denied for good.
         spare = self.product.target - SPARE * self.usual.mean()
         spare = self.product.target if self.relays else max(spare, WAIT * self.product.target)
         hopeless = now > self.taken + spare and not (self.relays and self.product.late_share)
@@ -311,7 +294,6 @@
         self.relays.append(Relay(server, now))
         server.out.append((self, self.relays[-1]))
         server.sent.append(now)
-        server.sent.since(now - umpire.charter.fall_for)
         server.rest(0)
         umpire.host.relay(self, server, self.until)
 
@@ -319,8 +301,7 @@
                     report: Sequence[float]) -> None:
         relay = self.relays[number]
         relay.ended = True
-        if outcome in (Outcome.FULL, Outcome.UNREACHED, Outcome.UNSENT):
-            relay.may_have_run = False
+        relay.may_have_run = outcome not in (Outcome.FULL, Outcome.UNREACHED, Outcome.UNSENT)
         relay.server.out.remove((self, relay))
         relay.server.heard(report)
         if outcome in (Outcome.HANDLED, Outcome.ERRORED):
@@ -345,7 +326,7 @@
 
     def __init__(self, charter: Charter) -> None:
         self.charter = charter
-        self.taken, self.sent = Times(), Times()
+        self.taken, self.sent = Times(maxlen=KEPT), Times()
 
     def left(self, now: float, cap: float) -> float:
         start, free = now - self.charter.window, self.charter.free if cap > 0 else 0.0
@@ -367,9 +348,9 @@
         self.found = (0.0, 0.0, 0.0)
 
     def sides(self, build: int) -> tuple[Samples, ...]:
-        if build > self.build:
-            return ()
-        return (self.fresh,) if build == self.build else (self.before, self.all_before)
+        if build < self.build:
+            return self.before, self.all_before
+        return (self.fresh,) if build == self.build else ()
 
     def look(self, level: float, settled: bool) -> Verdict:
         released, now = self.phase is Phase.RELEASED, self.umpire.host.clock
@@ -379,7 +360,8 @@
             return Verdict.NONE
         around = radius(n, level / 2) + radius(m, level / 2)
         # Guards against blaming the build for one server that errs: without the worst, doubt must remain.
-        mine = sorted((s for s in self.umpire.servers if s.build == self.build and s.seen), key=Server.faults)
+        mine = [s for s in self.umpire.servers if s.build == self.build and s.seen]
+        mine.sort(key=lambda s: sum(x.bins[-1] for x in s.seen.values()))
         faults = doubts(self.all_before, merged(mine), (FAILED,))
         spread = doubts(self.all_before, merged(mine[:-1]), (FAILED,)) if len(mine) > 1 else faults
         everywhere = doubts(self.umpire.calm, self.umpire.lately, range(FAILED))
@@ -391,7 +373,8 @@
         # Guards against a build that slows all servers in step with its traffic, which leaves no gap: all
         # relays lately against those from before it was offered, unless more is asked for. A shared
         # dependency looks alike but ends: the umpire holds meanwhile. Harms: a good build where it does not.
-        if everywhere < surely / 2 or self.umpire.asked() > BUSIER * self.umpire.calm_asked:
+        asked = self.umpire.first_tries.since(now - ASKED_OVER)
+        if everywhere < surely / 2 or asked > BUSIER * self.umpire.calm_asked:
             self.slow_since = now
         elif everywhere > surely and now - self.slow_since > SLOW_FOR:
             return Verdict.BACK
@@ -401,17 +384,14 @@
 
 
 class Umpire:
-    """Takes transactions and answers them, follows the roster and the release, and votes."""
-
     def __init__(self, charter: Charter, host: Host, seed: int) -> None:
         self.charter, self.host, self.seed = charter, host, seed
-        self.draws = self.round = 0
-        self.servers, self.waiting = list[Server](), list[Transaction]()
+        self.draws, self.round, self.servers, self.waiting = 0, 0, list[Server](), list[Transaction]()
         self.usual = [Pace(PRIOR * p.target) for p in charter.products]
         self.keys: dict[int, int] = {}
         self.told: dict[int, tuple[float, int, list[float]]] = {}
         self.allowances = [Allowance(charter) for _ in (charter.products if charter.by_product else (0,))]
-        self.taken, self.answers, self.first_tries = Times(), Times(), Times()
+        self.taken, self.answers, self.first_tries = (Times(maxlen=KEPT) for _ in range(3))
         self.calm, self.lately, self.calm_asked = dict[int, Sample](), dict[int, Sample](), 0
         # where any one vote decides, the chances of a false one add up over the umpires
         self.level = LEVEL / max(1, charter.umpires) if charter.control is not Control.SHARE else LEVEL
@@ -419,8 +399,7 @@
         self.build, self.stage, self.phase, self.cap = -1, 0, Phase.RELEASED, 0.0
         self.trial: Trial | None = None
         self.asking, self.informed = ASK_AGAIN[0], not charter.must_ask
-        if charter.must_ask:
-            self.watch()
+        self.watch()
         host.wake(BEAT, self.beat)
 
     def chance(self) -> float:
@@ -450,11 +429,12 @@
         self.host.wake(self.asking * (0.75 + 0.5 * self.chance()), self.watch)
 
     def release_news(self, age: float, cap: float, build: int, stage: int, phase: Phase) -> None:
+        moved = (build, stage, phase) != (self.build, self.stage, self.phase)
+        if build > self.build:
+            self.calm, self.lately = self.lately, {}
+            self.calm_asked = self.first_tries.since(self.host.clock - ASKED_OVER)
         if build < self.build:
             return  # news of a build that a later one has followed
-        if build > self.build:
-            self.calm, self.lately, self.calm_asked = self.lately, {}, self.asked()
-        moved = (build, stage, phase) != (self.build, self.stage, self.phase)
         self.build, self.stage, self.phase, self.cap = build, stage, phase, cap
         if not moved:
             return
@@ -477,18 +457,17 @@
             self.told[neighbour] = (self.host.clock, int(build), [float(x) for x in found])
 
     def pooled(self, build: int, found: Sequence[float]) -> list[float]:
-        """Guards against evidence that no umpire has enough of by itself. Each umpire's own outcomes are its
-        own, so that their likelihood ratios multiply to one as valid. Harms: a trouble near one umpire alone
-        outweighed by the others; a lost message only makes this umpire judge on less."""
+        """Guards against evidence that no umpire has enough of alone. Umpires see separate outcomes, so their
+        likelihood ratios multiply to one as valid. Harms: a trouble near one umpire is outweighed."""
         heard = [f for _, (at, of, f) in sorted(self.told.items())
-                 if of == build and at > self.host.clock - TOLD_FOR]
+                 if of == build and at > self.host.clock - 4 * TELL_EVERY]
         return [sum(column) for column in zip(found, *heard, strict=True)]
 
     def judge(self, transaction: Transaction, relay: Relay, outcome: Outcome, took: float) -> None:
         """Only answers, errors and lateness speak of a build; the rest speaks of a server or this umpire."""
-        if outcome is Outcome.LATE and (relay.server.silent > 1 or self.phase is Phase.RELEASED):
-            return  # a server that has fallen silent is one finding, not one for each relay that it held
-        if not relay.old_enough or outcome not in (Outcome.HANDLED, Outcome.ERRORED, Outcome.LATE):
+        # A server that has fallen silent is one finding, not one for each relay that it held.
+        mute = outcome is Outcome.LATE and (relay.server.silent > 1 or self.phase is Phase.RELEASED)
+        if mute or not relay.old_enough or outcome not in (Outcome.HANDLED, Outcome.ERRORED, Outcome.LATE):
             return
         share = took / transaction.product.abandon if outcome is Outcome.HANDLED else 1.0
         product, trial = transaction.product.index, self.trial
@@ -496,11 +475,7 @@
             side.setdefault(product, Sample()).add(share)
         self.lately.setdefault(product, Sample()).add(share, LATELY)
 
-    def asked(self) -> int:
-        return self.first_tries.since(self.host.clock - ASKED_OVER)
-
     def consider(self) -> None:
-        """Look at the test and keep the vote standing."""
         trial, now = self.trial, self.host.clock
         if not trial:
             return
@@ -516,13 +491,12 @@
             trial.cast_at, trial.ask_at = now, now + self.charter.vote_wait + VOTE_PAUSE
 
     def settled(self, trial: Trial) -> bool:
-        """Guards against an on before the stage's clock has run: its servers may start, or be listed, one by
-        one and late, so that the newest listed start alone tells too little."""
+        """Guards against an on too early: a stage's servers start, and are listed, one by one and late."""
         ready = [s for s in self.servers if s.state is Listed.READY]
         fresh = [s.since for s in ready if s.build == trial.build]
-        last = len(self.charter.shares) - 1
+        share = self.charter.shares[min(trial.stage, len(self.charter.shares) - 1)]
         places = len(ready) if self.charter.replaces else len(ready) - len(fresh)
-        complete = len(fresh) >= max(1, int(self.charter.shares[min(trial.stage, last)] * places + 0.5))
+        complete = len(fresh) >= max(1, int(share * places + 0.5))
         complete = complete or self.host.clock - trial.began >= LONGEST_START + PATIENT
         return complete and self.host.clock - max(fresh, default=inf) >= PATIENT
 
@@ -545,7 +519,6 @@
         return build > self.build or (build == self.build and self.phase is not Phase.RELEASED)
 
     def may_expose(self, transaction: Transaction, build: int) -> bool:
-        """Whether one more relay at a build on trial keeps the rule on exposure."""
         told = (self.stage, self.cap) if build == self.build else (0, self.charter.caps[0])
         guarded = told[0] < self.charter.guarded_stages and transaction.product.repeat is not Repeat.REDOABLE
         return not guarded and self.allowance(transaction).left(self.host.clock, told[1]) >= 1
@@ -567,16 +540,13 @@
 
     def pick(self, servers: Sequence[Server]) -> Server:
         """Two random choices, weighted by warmth, so that a cold server gets no more than its warm peers."""
-        return min((self.draw(servers) for _ in range(2)), key=Server.cost)
-
-    def draw(self, servers: Sequence[Server]) -> Server:
         edges = list(accumulate(s.warmth() for s in servers))
-        return servers[min(bisect_left(edges, self.chance() * edges[-1]), len(servers) - 1)]
+        places = [bisect_left(edges, self.chance() * edges[-1]) for _ in range(2)]
+        return min((servers[min(place, len(servers) - 1)] for place in places), key=Server.cost)
 
     def has_room(self) -> bool:
-        """Guards against overload of any cause (bursts, slow or lost servers, retry storms): open relays are
-        held to what is answered within part of the shortest target time; the rest waits here, where its
-        denial costs no server anything. Harms: a sudden rise in traffic after a lull waits for a moment."""
+        """Guards against overload of any cause (bursts, lost servers, retry storms): open relays are held to
+        what is answered within part of the shortest target time. Harms: a rise after a lull must wait."""
         awake = [s for s in self.servers if s.awake()]
         few = FEW_OPEN * (1 + len(awake) / max(1, self.charter.umpires))
         timely = self.answers.since(self.host.clock - RATE_OVER) / RATE_OVER * QUEUE * self.shortest
@@ -589,17 +559,14 @@
         for transaction in [t for t in waiting if not t.closed]:
             transaction.dispatch()
 
-    def leave_stalled(self) -> None:
-        """Relays that a stalled server holds go elsewhere where their product lets them."""
-        for server in [s for s in self.servers if s.stalled()]:
+    def beat(self) -> None:
+        for server in [s for s in self.servers if s.stalled()]:  # what it holds goes elsewhere where it may
             server.rest(2)
             others = [s for s in self.servers if s.awake()]
             for transaction, relay in server.out if self.charter.may_withdraw else ():
                 if not transaction.closed and any(transaction.may_go(s) for s in others):
                     self.host.withdraw(transaction, transaction.relays.index(relay))
 
-    def beat(self) -> None:
-        self.leave_stalled()
         self.serve_waiting()
         self.consider()
         self.host.wake(BEAT, self.beat)
