--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -29,7 +29,7 @@
 FAULTS = 0.004  # share of relays that fail or are contested on any build; a few times what sound servers show
 GUESSES = (0.04, 0.12, 0.35, 0.75)  # excess shares that a build is tried for: rare faults to a failed product
 SLOW_FOR = 3.0  # s that all servers' slowness must outlast on a trial; longer than most bursts
-LATELY = 50.0  # outcomes of a product after which the latest sample is halved; some seconds' worth
+FADE = (3.0, 0.5, 0.8)  # s between fadings; what of the latest sample, and of a server's own, each leaves
 ASKED_OVER = 4.0  # s over which first tries are counted, some tens of them, to tell load from slowness
 BUSIER = 1.4  # times the calm traffic from which slowness everywhere may be the load itself
 TELL_EVERY = 0.5  # s between words to the neighbours; a few dozen bytes, next to nothing in price
@@ -70,15 +70,16 @@
     def __init__(self) -> None:
         self.bins, self.n = [0.0] * (len(EDGES) + 1), 0.0
 
-    def add(self, share: float, most: float = inf) -> None:
+    def add(self, share: float) -> None:
         self.bins[bisect_left(EDGES, share)] += 1
         self.n += 1
-        if self.n > most:  # a running sample fades by halving
-            self.bins, self.n = [x / 2 for x in self.bins], self.n / 2
+
+    def fade(self, kept: float) -> None:
+        self.bins, self.n = [x * kept for x in self.bins], self.n * kept
 
     def contest(self) -> None:
         """A wrong answer is a failed relay: the likeliest of the outcomes becomes one."""
-        if self.n > self.bins[-1]:
+        if self.n >= self.bins[-1] + 1:
             self.bins[self.bins.index(max(self.bins[:-1]))] -= 1
             self.bins[-1] += 1
 
@@ -147,8 +148,6 @@
 
 
 class Times(deque[float]):
-    """When things happened, forgotten as they leave the window that is asked for."""
-
     def since(self, start: float) -> int:
         while self and self[0] < start:
             self.popleft()
@@ -246,8 +245,6 @@
 
 
 class Transaction:
-    """A transaction taken; it owes its client exactly one final answer."""
-
     def __init__(self, umpire: Umpire, number: int, product: int, tenant: int, until: float,
                  key: int, again: bool) -> None:
         self.umpire, self.number, self.tenant, self.until, self.key = umpire, number, tenant, until, key
@@ -322,8 +319,6 @@
 
 
 class Allowance:
-    """Relays at the build on trial and transactions taken within the window of the rule on exposure."""
-
     def __init__(self, charter: Charter) -> None:
         self.charter = charter
         self.taken, self.sent = Times(maxlen=KEPT), Times()
@@ -334,14 +329,11 @@
 
 
 class Trial:
-    """The test of one build in one stage, and the vote that follows from it."""
-
     def __init__(self, umpire: Umpire, build: int, stage: int, phase: Phase, began: float) -> None:
         self.umpire, self.build, self.stage, self.phase, self.began = umpire, build, stage, phase, began
         self.before, self.fresh = dict[int, Sample](), dict[int, Sample]()
         same = umpire.trial if umpire.trial and umpire.trial.build == build else None
-        # Faults are too rare to forget at each stage, and where the earlier servers are replaced their last
-        # sample stands for them; the new build's servers keep their own.
+        # Faults are too rare to forget at each stage, and earlier servers may have been replaced.
         self.all_before: Samples = same.all_before if same else {}
         self.slow_since: float = same.slow_since if same else umpire.host.clock
         self.verdict, self.cast_at, self.ask_at, self.tell_at = Verdict.NONE, 0.0, 0.0, 0.0
@@ -396,7 +388,7 @@
         # where any one vote decides, the chances of a false one add up over the umpires
         self.level = LEVEL / max(1, charter.umpires) if charter.control is not Control.SHARE else LEVEL
         self.shortest = min((p.target for p in charter.products), default=1.0)
-        self.build, self.stage, self.phase, self.cap = -1, 0, Phase.RELEASED, 0.0
+        self.build, self.stage, self.phase, self.cap, self.fade_at = -1, 0, Phase.RELEASED, 0.0, 0.0
         self.trial: Trial | None = None
         self.asking, self.informed = ASK_AGAIN[0], not charter.must_ask
         self.watch()
@@ -473,7 +465,7 @@
         product, trial = transaction.product.index, self.trial
         for side in (relay.server.seen, *trial.sides(relay.build)) if trial else ():
             side.setdefault(product, Sample()).add(share)
-        self.lately.setdefault(product, Sample()).add(share, LATELY)
+        self.lately.setdefault(product, Sample()).add(share)
 
     def consider(self) -> None:
         trial, now = self.trial, self.host.clock
@@ -567,6 +559,11 @@
                 if not transaction.closed and any(transaction.may_go(s) for s in others):
                     self.host.withdraw(transaction, transaction.relays.index(relay))
 
+        if self.host.clock >= self.fade_at:
+            self.fade_at = self.host.clock + FADE[0]
+            for samples, kept in ((self.lately, FADE[1]), *((s.seen, FADE[2]) for s in self.servers)):
+                for sample in samples.values():
+                    sample.fade(kept)
         self.serve_waiting()
         self.consider()
         self.host.wake(BEAT, self.beat)
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from math import isclose, log, sqrt
+from random import Random
 
 import pytest
 from helpers import Desk
 
-from stepsail.balance import Sample, gap, radius
-from stepsail.interface import Outcome, Phase, Repeat
+from stepsail.balance import FAILED, Sample, doubts, gap, radius
+from stepsail.interface import Outcome, Phase, Receipt, Repeat, Verdict
 
 
 def test_radius_is_the_bound_worked_by_hand() -> None:
@@ -76,3 +77,108 @@
     for _ in range(3000):
         desk.servers[0].relay_ended(Outcome.LATE, 1.0, True)
     assert 0 < desk.servers[0].rest_until - desk.clock <= 4.0
+
+
+def outcomes(desk: Desk, server: int, outcome: Outcome, count: int) -> None:
+    """Ends relays at one server, each a tenth of a second after its start."""
+    handle = desk.servers[server]
+    for _ in range(count):
+        desk.umpire.answers.extend([desk.clock] * 9)
+        transaction = desk.take(0)
+        if not transaction.relays or transaction.relays[-1].server is not handle:
+            if transaction.relays:
+                transaction.relay_ended(0, Outcome.HANDLED, True, 0.1, ())
+            continue
+        transaction.relay_ended(0, outcome, outcome is Outcome.HANDLED, 0.1, ())
+        for at in range(1, len(transaction.relays)):
+            if not transaction.relays[at].ended:
+                transaction.relay_ended(at, Outcome.HANDLED, True, 0.1, ())
+        desk.wait(0.1)
+
+
+def on_trial(builds: tuple[int, ...]) -> Desk:
+    desk = Desk(builds=builds, caps=(1.0, 1.0), shares=(0.5, 1.0), guarded_stages=0)
+    desk.news(2, 0, Phase.TRIAL, 1.0)
+    return desk
+
+
+def test_a_sound_build_is_voted_on_and_no_sooner_than_its_clock_allows() -> None:
+    desk = on_trial((1, 1, 2, 2))
+    desk.roster((1, 1, 2, 2), start=desk.clock - 3.1)
+    outcomes(desk, 2, Outcome.HANDLED, 40)
+    assert desk.votes and set(desk.votes) == {(2, 0, Verdict.ON)}
+    early = on_trial((1, 1, 2, 2))
+    early.roster((1, 1, 2, 2), start=early.clock)
+    outcomes(early, 2, Outcome.HANDLED, 30)
+    assert early.clock - 100 < 3.3 and not early.votes
+
+
+def test_a_build_whose_servers_err_goes_back_but_one_bad_server_is_not_the_build() -> None:
+    # An incident had two servers err at once; a good build was sent back for them.
+    for sick, verdict in (((2, 3, 4), Verdict.BACK), ((2,), Verdict.ON)):
+        desk = on_trial((1, 1, 2, 2, 2))
+        for _ in range(60):
+            desk.umpire.answers.extend([desk.clock] * 9)
+            transaction = desk.take(0)
+            while transaction.relays and not transaction.finished:
+                relay = transaction.relays[-1]
+                bad = desk.servers.index(relay.server) in sick
+                outcome = Outcome.ERRORED if bad else Outcome.HANDLED
+                transaction.relay_ended(len(transaction.relays) - 1, outcome, not bad, 0.1, ())
+            desk.wait(0.1)
+        assert desk.votes and desk.votes[-1][2] is verdict
+
+
+def test_a_server_that_errs_or_stalls_rests() -> None:
+    desk = Desk(builds=(1, 1))
+    for _ in range(2):
+        desk.servers[0].relay_ended(Outcome.ERRORED, 1.0, True)
+    assert not desk.servers[0].awake()
+    stalled = Desk(builds=(1, 1, 1))
+    held = stalled.take(0)
+    stalled.wait(1.0)
+    assert not held.relays[0].server.awake() and held.relays[0].server.out
+
+
+def test_rejection_under_identical_builds_is_no_more_frequent_than_the_level() -> None:
+    wrong = 0
+    for seed in range(300):
+        draw = Random(seed)
+        before, fresh = {0: Sample()}, {0: Sample()}
+        for _ in range(400):
+            before[0].add(draw.expovariate(20))
+        for n in range(1, 150):
+            fresh[0].add(draw.expovariate(20))
+            wide, _, m = gap(before, fresh)
+            around = radius(n, 0.005) + radius(m, 0.005)
+            if wide > around or doubts(before, fresh, (FAILED,)) > log(2 / 0.01):
+                wrong += 1
+                break
+    assert wrong <= 0.01 * 300
+
+
+def test_neighbours_words_are_added_and_nonsense_is_passed_over() -> None:
+    desk = on_trial((1, 2))
+    for neighbour, text in ((1, b"2 1.5 -0.5 3.0"), (2, b"3 9.0 9.0 9.0"), (3, b"\xff2 x"), (4, b"")):
+        desk.umpire.neighbour_said(neighbour, text)
+    assert desk.umpire.pooled(2, (1.0, 1.0, 1.0)) == [2.5, 0.5, 4.0]
+    desk.wait(5.0)
+    assert desk.umpire.pooled(2, (1.0, 1.0, 1.0)) == [1.0, 1.0, 1.0]
+
+
+def test_bad_input_is_passed_over() -> None:
+    desk = Desk(builds=(1, 1))
+    desk.news(2, 9, Phase.TRIAL, 0.5)  # a stage beyond the told ones
+    desk.news(1, 0, Phase.RELEASED, 1.0)  # news that goes backwards
+    assert (desk.umpire.build, desk.umpire.stage) == (2, 9)
+    desk.umpire.vote_answered(Receipt.MOOT)
+    desk.umpire.tallied(77, 0, 5, 1, 0.1, 1.0)
+    desk.servers[0].contested(0, 1.0)
+    desk.servers[0].probed(0.1, Outcome.HANDLED, (float("nan"),))
+    late = desk.take(0, lasts=-1.0)
+    assert late in desk.denied  # its time had passed already
+    desk.umpire.roster_read(True, False)  # an empty roster: all are gone
+    waiting = desk.take(0, lasts=0.5)
+    assert not waiting.relays and waiting not in desk.denied
+    desk.wait(0.6)
+    assert waiting in desk.denied
