--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -33,10 +33,10 @@
 ASKED_OVER = 4.0  # s over which first tries are counted, some tens of them, to tell load from slowness
 BUSIER = 1.4  # times the calm traffic from which slowness everywhere may be the load itself
 TELL_EVERY = 0.5  # s between words to the neighbours; a few dozen bytes, next to nothing in price
-HEARD = compile(rb"\d{1,5}( -?\d{1,6}\.\d){3}")  # what neighbours say: build, faults, spread, everywhere
+HEARD = compile(rb"\d{1,5}( -?\d{1,6}\.\d){4}")  # said: build, faults, spread, slowness, outcomes
 LEAN = 1.0  # log of the evidence against a build above which the least sample votes nothing
 YOUNG = 3.0  # s after its start in which a server gives no evidence; the design's
-PATIENT = 3.3  # s after the newest start of a stage before an on: its clock starts 1 s later and runs for 2
+PATIENT = 3.5  # s after the newest start of a stage before an on: its clock starts 1 s later and runs for 2
 LONGEST_START = 8.0  # s after its launch when a stage's clock starts though servers are missing
 RENEW = 0.7  # share of a vote's life after which it is cast again, early enough for a lost answer
 VOTE_PAUSE = 0.5  # s before a vote that release control did not count is cast again; spares its allowance
@@ -337,7 +337,7 @@
         self.all_before: Samples = same.all_before if same else {}
         self.slow_since: float = same.slow_since if same else umpire.host.clock
         self.verdict, self.cast_at, self.ask_at, self.tell_at = Verdict.NONE, 0.0, 0.0, 0.0
-        self.found = (0.0, 0.0, 0.0)
+        self.found = (0.0, 0.0, 0.0, 0.0)
 
     def sides(self, build: int) -> tuple[Samples, ...]:
         if build < self.build:
@@ -357,8 +357,8 @@
         faults = doubts(self.all_before, merged(mine), (FAILED,))
         spread = doubts(self.all_before, merged(mine[:-1]), (FAILED,)) if len(mine) > 1 else faults
         everywhere = doubts(self.umpire.calm, self.umpire.lately, range(FAILED))
-        self.found = (faults, spread, everywhere)
-        faults, spread, everywhere = self.umpire.pooled(self.build, self.found)
+        self.found = (faults, spread, everywhere, n)
+        faults, spread, everywhere, count = self.umpire.pooled(self.build, self.found)
         surely = log(2 / level)
         if wide - around > MARGIN or (faults > surely and spread > 0):
             return Verdict.BACK
@@ -371,7 +371,7 @@
         elif everywhere > surely and now - self.slow_since > SLOW_FOR:
             return Verdict.BACK
         sound = spread < LEAN and faults < surely / 2
-        enough = wide + around < TOLERANCE or n >= LEAST
+        enough = wide + around < TOLERANCE or count >= LEAST
         return Verdict.ON if settled and sound and enough and self.slow_since == now else Verdict.NONE
 
 
@@ -477,7 +477,7 @@
                 trial.verdict = verdict
         if self.charter.neighbours and now >= trial.tell_at:
             trial.tell_at = now + TELL_EVERY
-            self.host.tell_neighbours(b"%d %.1f %.1f %.1f" % (trial.build, *trial.found))
+            self.host.tell_neighbours(b"%d %.1f %.1f %.1f %.1f" % (trial.build, *trial.found))
         if trial.verdict is not Verdict.NONE and now >= trial.ask_at:
             self.host.vote(trial.build, trial.stage, trial.verdict)
             trial.cast_at, trial.ask_at = now, now + self.charter.vote_wait + VOTE_PAUSE
