--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -12,7 +12,7 @@
 from collections import deque
 from collections.abc import Sequence
 from itertools import accumulate
-from math import exp, inf, log, sqrt
+from math import ceil, exp, inf, log, sqrt
 from operator import add
 from re import compile
 from zlib import crc32
@@ -36,7 +36,7 @@
 HEARD = compile(rb"\d{1,5}( -?\d{1,6}\.\d){4}")  # said: build, faults, spread, slowness, outcomes
 LEAN = 1.0  # log of the evidence against a build above which the least sample votes nothing
 YOUNG = 3.0  # s after its start in which a server gives no evidence; the design's
-PATIENT = 3.5  # s after the newest start of a stage before an on: its clock starts 1 s later and runs for 2
+PATIENT = 3.5  # s after the newest start of a stage before an on: its clock starts up to 1.4 s later, runs for 2
 LONGEST_START = 8.0  # s after its launch when a stage's clock starts though servers are missing
 RENEW = 0.7  # share of a vote's life after which it is cast again, early enough for a lost answer
 VOTE_PAUSE = 0.5  # s before a vote that release control did not count is cast again; spares its allowance
@@ -488,7 +488,7 @@
         fresh = [s.since for s in ready if s.build == trial.build]
         share = self.charter.shares[min(trial.stage, len(self.charter.shares) - 1)]
         places = len(ready) if self.charter.replaces else len(ready) - len(fresh)
-        complete = len(fresh) >= max(1, int(share * places + 0.5))
+        complete = len(fresh) >= max(1, ceil(share * places - 1e-6))
         complete = complete or self.host.clock - trial.began >= LONGEST_START + PATIENT
         return complete and self.host.clock - max(fresh, default=inf) >= PATIENT
 
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -182,3 +182,14 @@
     assert not waiting.relays and waiting not in desk.denied
     desk.wait(0.6)
     assert waiting in desk.denied
+
+
+def test_a_stage_is_complete_only_with_its_share_of_places_rounded_up() -> None:
+    # On some days an on came under 2 s into a stage's clock: 20% of 6 places are two servers, not one.
+    desk = Desk(builds=(1, 1, 1, 1, 1, 1, 2, 2), caps=(1.0, 1.0), shares=(0.2, 1.0))
+    desk.news(2, 0, Phase.TRIAL, 1.0)
+    desk.servers[7].listed(0, 7, 2, 0, 0.0, 1.0)
+    trial = desk.umpire.trial
+    assert trial and not desk.umpire.settled(trial)
+    desk.servers[7].listed(0, 7, 2, 1, 0.0, 1.0)
+    assert desk.umpire.settled(trial)
