--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -312,7 +312,8 @@
         self.closed = self.closed or final
         if not self.closed and all(r.ended for r in self.relays):
             self.dispatch()
-        self.umpire.serve_waiting()
+        if self.umpire.waiting and self.umpire.has_room():
+            self.umpire.serve_waiting()
 
     def client_left(self) -> None:
         self.closed = True
@@ -545,7 +546,6 @@
         return sum(len(s.out) for s in awake) < max(few, timely)
 
     def serve_waiting(self) -> None:
-        """The waiting go by revenue for their work, then the newest first: it has the most time left."""
         waiting, self.waiting = self.waiting, []
         waiting.sort(key=lambda t: (t.again, -t.product.revenue / t.usual.mean(), -t.taken))
         for transaction in [t for t in waiting if not t.closed]:
