A few judges pool what all umpires saw; no idle looks; votes and cold servers by chance

Now outcomes go to three judges chosen by number, which pool them as their own; under votes by share all stand for a judge's finding; first votes are spread over the allowance; an umpire with nothing open does not wake; a transaction has one draw for cold servers, and a cold one is never the better of two. Where the platform counts relays, its counts are one record for all. Guards also against any number of umpires and lost judges; could harm where all three judges are cut off: then own evidence alone sends back.

--- a/stepsail/adapter/frames.py
+++ b/stepsail/adapter/frames.py
@@ -40,6 +40,11 @@
 BALLOT = Struct("<BHHBB")
 TEXT_MOST = 0xFFFF
 
+SEEN_HEAD = Struct("<cdH")  # an umpire's word to a judge: kind, sender's clock, first tries taken,
+SEEN = Struct("<6sHBB")  # and outcomes: server, build, product, bin,
+SEEN_MOST = (256 - SEEN_HEAD.size) // SEEN.size  # of which one message holds so many
+FOUND = Struct("<cdHBB")  # a judge's word to all: kind, sender's clock, build, stage, verdict
+
 
 class Malformed(Exception):
     """A frame that does not follow the wire."""
@@ -171,13 +176,13 @@
         reports_by_probe=found.word("Stats.Source") == "probe",
         drain_grace=found.span("Rules.StopSendingWithinMs"),
         cold_from=found.number("Rules.ColdFrom"), cold_for=found.span("Rules.ColdMs"),
-        fall_for=found.span("Rules.OverloadForMs"),
+        fall_multiple=found.number("Rules.FallMultiple", 1.0),
         control=CONTROLS.get(found.word("Domain.DecidedBy"), Control.ANY),
         replaces=found.word("Domain.ReplaceMode") == "replace", bake=found.span("Domain.BakeMs"),
         shares=found.numbers("Domain.Shares") or (1.0,), caps=found.numbers("Domain.MostShares") or (0.0,),
         guarded_stages=found.whole("Domain.ClosedStages"), one_way=found.flag("Domain.OneWay"),
         by_product=found.word("Domain.CountedBy") == "each_class", free=found.number("Domain.Uncounted"),
         window=found.span("Domain.CountedOverMs"), vote_life=found.span("Domain.VoteStandsMs"),
-        vote_wait=found.span("Domain.ApiTimeoutMs"),
+        vote_wait=found.span("Domain.ApiTimeoutMs"), votes_per_s=found.number("Domain.VoteAllowance"),
         tenant_shares=tuple(found.number(f"Realms.{i}.Share") for i in tenants),
         tenant_quotas=tuple(found.number(f"Realms.{i}.QuotaPerS") for i in tenants))
--- a/stepsail/adapter/host.py
+++ b/stepsail/adapter/host.py
@@ -4,7 +4,7 @@
 
 import sys
 import traceback
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any, BinaryIO, cast
 
 from stepsail.adapter import frames
@@ -34,6 +34,8 @@
         self.servers: dict[bytes, ServerHandle] = {}
         self.timers: dict[int, Callable[[], None]] = {}
         self.timers_set = 0
+        self.me = 0
+        self.heard_at: dict[tuple[int, bytes], float] = {}
 
     def relay(self, transaction: TransactionHandle, server: ServerHandle, until: float) -> None:
         self.reply.add(frames.PLACE, 16, self.who, transaction.number, server.address, until * 1000.0)
@@ -64,8 +66,38 @@
     def watch_roster(self) -> None:
         self.reply.add(frames.KEEP_INFORMED, 26, self.who, 1)
 
-    def tell_neighbours(self, text: bytes) -> None:
-        self.reply.add(frames.PUBLISH, 23, self.who, EVERYONE, len(text), tail=text)
+    def tell(self, to: int, text: bytes) -> None:
+        self.reply.add(frames.PUBLISH, 23, self.who, to, len(text), tail=text)
+
+    def tell_seen(self, neighbour: int, tries: int,
+                  seen: Sequence[tuple[ServerHandle, int, int, int]]) -> None:
+        """First tries taken and outcomes seen (server, build, product, bin), in as many words as needed."""
+        for at in range(0, max(1, len(seen)), frames.SEEN_MOST):
+            head = frames.SEEN_HEAD.pack(b"S", self.clock + at * 1e-6, 0 if at else min(tries, 0xFFFF))
+            self.tell(neighbour, head + b"".join(
+                frames.SEEN.pack(server.address, *rest) for server, *rest in seen[at:at + frames.SEEN_MOST]))
+
+    def tell_found(self, build: int, stage: int, verdict: Verdict) -> None:
+        self.tell(EVERYONE, frames.FOUND.pack(b"F", self.clock, build, stage, verdict))
+
+    def heard(self, neighbour: int, text: bytes) -> None:
+        """Hands on what a neighbour said; what is heard twice, late or malformed is passed over."""
+        kind, layout = text[:1], {b"S": frames.SEEN_HEAD, b"F": frames.FOUND}.get(text[:1])
+        if layout is None or len(text) < layout.size or neighbour == self.me:
+            return
+        _, at, *said = layout.unpack_from(text)
+        if not at > self.heard_at.get((neighbour, kind), float("-inf")):
+            return
+        self.heard_at[neighbour, kind] = at
+        if kind == b"F":
+            if said[2] in tuple(Verdict):
+                self.umpire.neighbour_found(neighbour, said[0], said[1], Verdict(said[2]))
+            return
+        self.umpire.neighbour_asked(said[0])
+        whole = len(text) - (len(text) - layout.size) % frames.SEEN.size
+        for address, build, product, place in frames.SEEN.iter_unpack(text[layout.size:whole]):
+            if address in self.servers:
+                self.umpire.neighbour_saw(self.servers[address], build, product, place)
 
     def note(self, text: str) -> None:
         tail = text.encode()[:frames.TEXT_MOST]
@@ -126,7 +158,9 @@
         found = self.instances[who] = Instance(who, self.frame.clock, self.reply)
 
         def start() -> None:
-            found.umpire = self.make(frames.read_charter(text), found, seed)
+            charter = frames.read_charter(text)
+            found.me = charter.me
+            found.umpire = self.make(charter, found, seed)
         self.guarded(who, start)
 
     def killed(self) -> None:
@@ -217,8 +251,8 @@
         text = self.frame.blob(size)
         found = self.instance(who)
         if found:
-            umpire = found.umpire
-            self.guarded(who, lambda: umpire.neighbour_said(neighbour, text))
+            instance = found
+            self.guarded(who, lambda: instance.heard(neighbour, text))
 
     def metrics(self) -> None:
         who, build, product, count, errored, took, since = self.frame.fields(frames.METRICS)
--- a/stepsail/interface.py
+++ b/stepsail/interface.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from enum import Enum, IntEnum
-from typing import Protocol
+from typing import Any, Protocol
 
 
 class Outcome(IntEnum):
@@ -121,7 +121,7 @@
     drain_grace: float
     cold_from: float
     cold_for: float
-    fall_for: float
+    fall_multiple: float
     control: Control
     replaces: bool
     bake: float
@@ -134,6 +134,7 @@
     window: float
     vote_life: float
     vote_wait: float
+    votes_per_s: float
     tenant_shares: tuple[float, ...]
     tenant_quotas: tuple[float, ...]
 
@@ -183,7 +184,11 @@
     def tallied(self, build: int, product: int, count: int, errored: int, mean: float,
                 age: float) -> None: ...
 
-    def neighbour_said(self, neighbour: int, text: bytes) -> None: ...
+    def neighbour_asked(self, tries: int) -> None: ...
+
+    def neighbour_saw(self, server: Any, build: int, product: int, place: int) -> None: ...
+
+    def neighbour_found(self, neighbour: int, build: int, stage: int, verdict: Verdict) -> None: ...
 
 
 class Host(Protocol):
@@ -209,7 +214,10 @@
 
     def watch_roster(self) -> None: ...
 
-    def tell_neighbours(self, text: bytes) -> None: ...
+    def tell_seen(self, neighbour: int, tries: int,
+                  seen: Sequence[tuple[ServerHandle, int, int, int]]) -> None: ...
+
+    def tell_found(self, build: int, stage: int, verdict: Verdict) -> None: ...
 
     def note(self, text: str) -> None: ...
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -17,9 +17,11 @@
         "me": 0, "umpires": 3, "zone": 0, "crossing_price": 0.0, "probe_price": 0.0, "probing": False,
         "neighbours": False, "may_withdraw": True, "second_copies": False, "most_relays": 4,
         "longest_stay_away": 0.5, "must_ask": False, "report_columns": (), "reports_by_probe": False,
-        "drain_grace": 0.5, "cold_from": 0.4, "cold_for": 4.0, "fall_for": 1.5, "control": Control.ANY,
+        "drain_grace": 0.5, "cold_from": 0.4, "cold_for": 4.0, "fall_multiple": 2.0,
+        "control": Control.ANY,
         "replaces": False, "bake": 2.0, "shares": (0.1, 1.0), "caps": (0.2, 1.0), "guarded_stages": 1,
         "one_way": False, "by_product": False, "free": 2.0, "window": 3.0, "vote_life": 6.0, "vote_wait": 1.0,
+        "votes_per_s": 50.0,
         "tenant_shares": (), "tenant_quotas": ()}
     return Charter(**(facts | changed))
 
@@ -27,7 +29,8 @@
 class Desk:
     """Plays the host: keeps what it is asked for, and runs the timers as the clock is moved."""
 
-    def __init__(self, builds: tuple[int, ...] = (1, 1, 1), start: float = 0.0, **changed: Any) -> None:
+    def __init__(self, builds: tuple[int, ...] = (1, 1, 1), start: float = 0.0, seed: int = 7,
+                 **changed: Any) -> None:
         self.clock = 100.0
         self.relays: list[tuple[Transaction, Server, float, float]] = []
         self.denied: list[Transaction] = []
@@ -35,7 +38,9 @@
         self.votes: list[tuple[int, int, Verdict]] = []
         self.timers: list[tuple[float, int, Callable[[], None]]] = []
         self.timers_set = 0
-        self.umpire = Umpire(charter(**changed), self, 7)
+        self.spoken: list[tuple[int, int, list[Any]]] = []
+        self.found: list[tuple[int, int, Verdict]] = []
+        self.umpire = Umpire(charter(**changed), self, seed)
         self.servers = [self.umpire.meet(bytes([i])) for i in range(len(builds))]
         self.roster(builds, start)
 
@@ -83,6 +88,10 @@
 
     def watch_roster(self) -> None: ...
 
-    def tell_neighbours(self, text: bytes) -> None: ...
+    def tell_seen(self, neighbour: int, tries: int, seen: Any) -> None:
+        self.spoken.append((neighbour, tries, list(seen)))
+
+    def tell_found(self, build: int, stage: int, verdict: Verdict) -> None:
+        self.found.append((build, stage, verdict))
 
     def note(self, text: str) -> None: ...
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from math import isclose, log, sqrt
 from random import Random
 
 import pytest
 from helpers import Desk
 
-from stepsail.balance import FAILED, Sample, doubts, gap, radius
-from stepsail.interface import Outcome, Phase, Receipt, Repeat, Verdict
+from stepsail.balance import EDGES, FAILED, JUDGES, Sample, doubts, gap, radius
+from stepsail.interface import Control, Outcome, Phase, Receipt, Repeat, Verdict
 
 
 def test_radius_is_the_bound_worked_by_hand() -> None:
@@ -20,9 +21,9 @@
 def test_gap_is_the_largest_excess_of_the_earlier_distribution() -> None:
     before, fresh = Sample(), Sample()
     for share in (0.05, 0.05, 0.2, 0.4):
-        before.add(share)
+        before.add(bisect_left(EDGES, share))
     for share in (0.05, 0.3, 0.4, 1.0):
-        fresh.add(share)
+        fresh.add(bisect_left(EDGES, share))
     # at 0.25: 3/4 of the earlier are below, 1/4 of the new
     assert gap({0: before, 1: fresh}, {0: fresh}) == (0.5, 4, 4)
 
@@ -68,7 +69,7 @@
     for _ in range(100):
         desk.take().relay_ended(0, Outcome.HANDLED, True, 0.05, ())
     assert len(desk.relays) == 100
-    assert sum(s is desk.servers[0] for _, s, _, _ in desk.relays) <= 1 + 0.4 * 100 / 4
+    assert 0 < sum(s is desk.servers[0] for _, s, _, _ in desk.relays) <= 1 + 0.4 * 100 / 4
 
 
 def test_a_server_silent_for_long_rests_for_a_bounded_time() -> None:
@@ -146,9 +147,9 @@
         draw = Random(seed)
         before, fresh = {0: Sample()}, {0: Sample()}
         for _ in range(400):
-            before[0].add(draw.expovariate(20))
+            before[0].add(bisect_left(EDGES, draw.expovariate(20)))
         for n in range(1, 150):
-            fresh[0].add(draw.expovariate(20))
+            fresh[0].add(bisect_left(EDGES, draw.expovariate(20)))
             wide, _, m = gap(before, fresh)
             around = radius(n, 0.005) + radius(m, 0.005)
             if wide > around or doubts(before, fresh, (FAILED,)) > log(2 / 0.01):
@@ -157,13 +158,63 @@
     assert wrong <= 0.01 * 300
 
 
-def test_neighbours_words_are_added_and_nonsense_is_passed_over() -> None:
-    desk = on_trial((1, 2))
-    for neighbour, text in ((1, b"2 1.5 -0.5 3.0 7.0"), (2, b"3 9.0 9.0 9.0 9.0"), (3, b"\xff2 x"), (4, b"")):
-        desk.umpire.neighbour_said(neighbour, text)
-    assert desk.umpire.pooled(2, (1.0, 1.0, 1.0, 1.0)) == [2.5, 0.5, 4.0, 8.0]
-    desk.wait(5.0)
-    assert desk.umpire.pooled(2, (1.0, 1.0, 1.0, 1.0)) == [1.0, 1.0, 1.0, 1.0]
+def test_a_judge_pools_what_others_saw_and_the_rest_tell_it() -> None:
+    # Hundreds of umpires each saw a trial outcome every few seconds; none had a least sample of its own.
+    desk = Desk(builds=(1, 2), umpires=400, neighbours=True, control=Control.SHARE)
+    judge = Desk(builds=(1, 2), umpires=400, neighbours=True, control=Control.SHARE,
+                 me=desk.umpire.panel.judges[0])
+    assert judge.umpire.panel.pools and not desk.umpire.panel.pools
+    for one in (desk, judge):
+        one.news(2, 0, Phase.TRIAL, 0.2)
+    desk.take(0).relay_ended(0, Outcome.HANDLED, True, 0.1, ())
+    desk.wait(3.0)
+    assert len(desk.spoken) == JUDGES and all(tries == 1 and len(seen) == 1 for _, tries, seen in desk.spoken)
+    for build, place in ((1, 3), (2, FAILED + 1)):
+        for _ in range(80):
+            judge.umpire.neighbour_saw(judge.servers[build - 1], build, 0, place)
+    judge.umpire.neighbour_saw(judge.servers[0], 1, 9, 3)  # an unknown product
+    judge.umpire.neighbour_saw(judge.servers[0], 1, 0, 77)  # an unknown bin
+    judge.wait(1.5)
+    assert judge.votes == [(2, 0, Verdict.BACK)] and judge.found[0] == (2, 0, Verdict.BACK)
+    for neighbour, stage in ((1, 0), (judge.umpire.charter.me, 1), (judge.umpire.charter.me, 0)):
+        assert not desk.votes  # no judge's word, or on another stage
+        desk.umpire.neighbour_found(neighbour, 2, stage, Verdict.BACK)
+        desk.wait(9.0)
+    assert set(desk.votes) == {(2, 0, Verdict.BACK)}
+
+
+def test_a_wrong_answer_to_a_product_not_seen_yet_is_survived() -> None:
+    # A contested answer left an empty sample behind, by which the next look divided.
+    desk = on_trial((1, 1, 2, 2))
+    for server in desk.servers:
+        server.contested(0, 1.0)
+    desk.umpire.neighbour_saw(desk.servers[0], 1, 1, 3)
+    desk.wait(1.0)
+    assert not desk.votes
+
+
+def test_the_platforms_counts_judge_where_umpires_cannot_speak() -> None:
+    for errored, verdict in ((0, Verdict.ON), (8, Verdict.BACK)):
+        desk = on_trial((1, 1, 2, 2))
+        desk.umpire.tallied(1, 0, 400, 1, 0.1, 1.0)
+        desk.umpire.tallied(1, 0, 3, 9, 0.1, 1.0)  # more failures than relays
+        desk.wait(13.0)
+        desk.umpire.tallied(2, 0, 40, errored, 0.1, 1.0)
+        desk.wait(1.0)
+        assert {v for _, _, v in desk.votes} == {verdict}
+
+
+def test_a_cold_server_is_safe_from_any_number_of_umpires() -> None:
+    # Each of hundreds of umpires had a relay of its own for a cold server: many times what it can do.
+    sent, taken = 0, 0
+    for seed in range(200):
+        desk = Desk(builds=(1,) * 10, seed=seed, umpires=200)
+        desk.servers[0].listed(0, 0, 1, 1, desk.clock, 1.0)
+        for _ in range(2):
+            desk.take().relay_ended(0, Outcome.HANDLED, True, 0.05, ())
+            taken += 1
+        sent += sum(s is desk.servers[0] for _, s, _, _ in desk.relays)
+    assert 0 < sent <= 0.5 * taken / 10
 
 
 def test_bad_input_is_passed_over() -> None:
@@ -173,6 +224,7 @@
     assert (desk.umpire.build, desk.umpire.stage) == (2, 9)
     desk.umpire.vote_answered(Receipt.MOOT)
     desk.umpire.tallied(77, 0, 5, 1, 0.1, 1.0)
+    desk.umpire.tallied(1, 9, 5, 1, 0.1, 1.0)  # an unknown product
     desk.servers[0].contested(0, 1.0)
     desk.servers[0].probed(0.1, Outcome.HANDLED, (float("nan"),))
     late = desk.take(0, lasts=-1.0)
@@ -189,7 +241,9 @@
     desk = Desk(builds=(1, 1, 1, 1, 1, 1, 2, 2), caps=(1.0, 1.0), shares=(0.2, 1.0))
     desk.news(2, 0, Phase.TRIAL, 1.0)
     desk.servers[7].listed(0, 7, 2, 0, 0.0, 1.0)
+    desk.umpire.roster_read(False, False)
     trial = desk.umpire.trial
-    assert trial and not desk.umpire.settled(trial)
+    assert trial and not trial.settled()
     desk.servers[7].listed(0, 7, 2, 1, 0.0, 1.0)
-    assert desk.umpire.settled(trial)
+    desk.umpire.roster_read(False, False)
+    assert trial.settled()
