Slow or lossy ways are avoided and blame no build; own pauses are no evidence

Cause: on a slow link two thirds of the relays went the slow way, everything looked slow and the build was held or sent back; an umpire that had stood still took its servers for stalled. Each umpire keeps the pace of its way to each zone, draws servers by it, and takes no evidence over a way three times slower than the best; what ends in the first moment after a late beat teaches nothing. Told from slow servers: all of one zone at once. Holds also against cut zones and overloaded ones; could harm a zone whose servers alone are new.

--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -19,7 +19,7 @@
 from stepsail.interface import Charter, Control, Group, Host, Listed, Outcome, Phase, Receipt, Repeat, Verdict
 
 EDGES = (0.02, 0.03, 0.045, 0.065, 0.09, 0.13, 0.18, 0.25, 0.35, 0.5, 0.75, 0.999)  # of abandon time: x1.4
-FAILED = len(EDGES) - 1  # the edge that only failed relays pass
+FAILED, CONTESTED = len(EDGES) - 1, 255  # the edge that only failed relays pass; bin of a wrong answer
 LEVEL, MARGIN, TOLERANCE = 0.01, 0.15, 0.1  # the design's: chance of a false rejection, gaps for back, on
 LEAST, LEAN = 6, 1.0  # new-build outcomes that vote on, unless the log of the evidence against it is above
 SLOWER, FAULTS = 1.35, 0.004  # times that a good build's relays may take; share that fails on any build
@@ -28,20 +28,18 @@
 FADE = (3.0, 0.5, 0.8)  # s between fadings; what of the latest sample, and of a server's own, each leaves
 ASKED_OVER, BUSIER = 4.0, 1.4  # s, and times the calm first tries in them: beyond, slowness may be the load
 JUDGES, TELL_EVERY = 3, 1.0  # umpires that pool what all saw, as one or two may be cut off; s between words
-CONTESTED = 255  # bin of an outcome that a client has found wrong
 YOUNG, PATIENT, MOST_START = 3.0, 3.7, 11.7  # s from a start to evidence; to an on; if servers are missing
 RENEW, VOTE_PAUSE = 0.7, 0.5  # share of its life when a vote is renewed; s before one not counted is recast
-BEAT, LOOK = 0.05, 0.2  # s between looks at waiting transactions; at open relays and evidence; else none
-SLIP = 0.02  # s, a few batches, by which counts and deadlines lean to the safe side
+BEAT, LOOK, SLIP = 0.05, 0.2, 0.02  # s between looks at waiting ones; at relays, evidence; kept for safety
 ASK_AGAIN = (0.8, 4.0)  # s; first and longest pause after a failed roster call; calls must not pile up
 REST, MOST_SILENT = 0.5, 4  # s of a silent server's first rest, a stall's length; lost relays that double it
 PACE_KEPT, OLD_LOAD = 16, 2.0  # outcomes after which a pace is halved; s after which a load report is stale
 QUEUE, RATE_OVER = 0.5, 2.0  # share of the shortest target that open relays take at the rate of answers; s
-FEW_OPEN = 2.5  # relays that each umpire, and each server from all, may have open however slow answers are
-STALL = 4.0  # usual times without a word from a server that holds relays until it counts as stalled
+FEW_OPEN, STALL = 2.5, 4.0  # relays each umpire may have open, and a server; usual times of its silence
 SPARE, WAIT = 2.0, 0.25  # usual times that one waiting must have left; share of its target it may always wait
 KEPT = 4000  # transactions counted at most in any window; more than one umpire takes in one
 COLD_PART = 0.5  # of what fells a cold server, sent if the fleet is asked for all it can do; bursts on top
+FAR = 3.0  # times the best way's pace from which a slow answer speaks of the way to a zone, not of a build
 PRIOR, CROSSING = 0.2, 0.5  # share of a target time taken as usual at first; relays' worth of a far way
 
 
@@ -74,8 +72,7 @@
     widest = below = 0.0
     for edge in range(len(EDGES) if n and m else 0):
         # each product by the new build's mix: guards against a mix that shifts within a stage
-        below += sum(before[p].bins[edge] / before[p].n * fresh[p].n / n - fresh[p].bins[edge] / n
-                     for p in both)
+        below += sum(before[p].bins[edge] / before[p].n * fresh[p].n - fresh[p].bins[edge] for p in both) / n
         widest = max(widest, below)
     return widest, n, m
 
@@ -104,8 +101,6 @@
 
 
 class Pace:
-    """How long relays take against what is usual for their product; old outcomes fade by halving."""
-
     def __init__(self, start: float = 1.0) -> None:
         self.n, self.total = 2.0, 2.0 * start
 
@@ -140,12 +135,14 @@
         self.state, self.round = Listed(state) if state in (0, 1) else Listed.GONE, self.umpire.round
 
     def warmth(self) -> float:
-        """Least share of its capacity that this server can have by now."""
         charter, left = self.umpire.charter, self.warm_at - self.umpire.host.clock
         return 1.0 if left <= 0 else 1 - (1 - charter.cold_from) * min(1.0, left / charter.cold_for)
 
+    def way(self) -> float:
+        ways = self.umpire.ways
+        return ways[self.zone].mean() / min(w.mean() for w in ways.values()) if self.zone in ways else 1.0
+
     def cost(self) -> float:
-        """What one more relay would wait for here, in relays of usual pace."""
         known = self.umpire.host.clock - self.load_at < OLD_LOAD
         held = max(self.load + len(self.out) - self.open_then if known else 0.0, len(self.out))
         far = self.umpire.charter.crossing_price and self.zone != self.umpire.charter.zone
@@ -165,7 +162,8 @@
         """Guards against a server that takes relays and falls silent (cut off, stopped, dead behind live
         connections) before the first of them runs out of time. Harms: one heavy relay on a quiet server."""
         now, usual = self.umpire.host.clock, self.out[0].transaction.usual.mean()
-        return self.rest_until <= now and now - max(self.out[0].at, self.heard_at) > max(REST, STALL * usual)
+        return (self.rest_until <= now
+                and now - max(self.out[0].at, self.heard_at) > max(REST, STALL * usual * self.way()))
 
     def relay_ended(self, outcome: Outcome, ratio: float, old_enough: bool) -> None:
         if outcome in (Outcome.HANDLED, Outcome.ERRORED, Outcome.FULL):
@@ -212,7 +210,6 @@
         return next((r for r in self.relays if r.may_have_run), None)
 
     def may_go(self, server: Server) -> bool:
-        """Whether no effect can happen twice if this transaction goes to that server now."""
         first = self.may_have_run()
         if first is None or self.product.repeat is not Repeat.LABELLED:
             return first is None or self.product.repeat is Repeat.REDOABLE
@@ -220,9 +217,8 @@
         return same[self.product.group] and self.umpire.host.clock < first.at + self.product.window - SLIP
 
     def close(self) -> None:
-        self.closed, product = True, self.product
-        dropped = product.repeat is Repeat.LABELLED and product.group is Group.ALL
-        if dropped or product.repeat is Repeat.REDOABLE or not self.may_have_run():
+        self.closed, kind = True, (self.product.repeat, self.product.group)
+        if kind[0] is Repeat.REDOABLE or kind == (Repeat.LABELLED, Group.ALL) or not self.may_have_run():
             return self.umpire.host.deny(self, self.umpire.charter.longest_stay_away)
         self.umpire.host.error(self)
 
@@ -257,12 +253,17 @@
         relay.server.heard(report)
         if outcome in (Outcome.HANDLED, Outcome.ERRORED):
             umpire.answers.append(umpire.host.clock)
-        if outcome is Outcome.HANDLED:
+        fair = not umpire.was_away()
+        if outcome is Outcome.HANDLED and fair:
             self.usual.add(took)
-        relay.server.relay_ended(outcome, took / self.usual.mean(), relay.old_enough)
+        if fair and outcome not in (Outcome.ERRORED, Outcome.FULL, Outcome.UNSENT):
+            lost = 0.0 if outcome is Outcome.HANDLED else FAR
+            umpire.ways.setdefault(relay.zone, Pace()).add(max(lost, took / self.usual.mean()))
+        relay.server.relay_ended(outcome, took / self.usual.mean(), fair and relay.old_enough)
         # A silent server is one finding, not one for each relay that it held; unsent ones speak of no build.
         mute = outcome is Outcome.LATE and (relay.server.silent > 1 or umpire.phase is Phase.RELEASED)
-        if relay.old_enough and not mute and outcome in (Outcome.HANDLED, Outcome.ERRORED, Outcome.LATE):
+        fair = fair and relay.old_enough and relay.server.way() < FAR
+        if fair and not mute and outcome in (Outcome.HANDLED, Outcome.ERRORED, Outcome.LATE):
             share = took / self.product.abandon if outcome is Outcome.HANDLED else 1.0
             umpire.panel.learn(relay.server, relay.build, self.product.index, bisect_left(EDGES, share), True)
         if outcome is Outcome.HANDLED and self.key and umpire.on_trial(relay.build):
@@ -396,13 +397,14 @@
         self.charter, self.host, self.seed, self.draws, self.round = charter, host, seed, 0, 0
         self.servers, self.ready = list[Server](), list[Server]()
         self.waiting, self.open, self.keys = list[Transaction](), list[Relay](), dict[int, int]()
-        self.usual = [Pace(PRIOR * p.target) for p in charter.products]
+        self.usual, self.ways = [Pace(PRIOR * p.target) for p in charter.products], dict[int, Pace]()
         self.allowances = [(Times(maxlen=KEPT), Times()) for _ in charter.products]  # taken, sent on trial
         self.answers, self.panel = Times(maxlen=KEPT), Panel(self)
         self.vote_spread = charter.umpires / max(1.0, charter.votes_per_s)
         self.shortest = min((p.target for p in charter.products), default=1.0)
-        self.build, self.stage, self.phase, self.cap, self.beat_at = -1, 0, Phase.RELEASED, 0.0, inf
+        self.build, self.stage, self.phase, self.cap = -1, 0, Phase.RELEASED, 0.0
         self.trial: Trial | None = None
+        self.beat_at, self.back_at = inf, 0.0
         self.asking, self.informed = ASK_AGAIN[0], not charter.must_ask
         self.watch()
 
@@ -411,9 +413,8 @@
         return crc32(b"%d.%d" % (self.seed, self.draws)) / 2**32
 
     def meet(self, address: bytes) -> Server:
-        server = Server(self, address)
-        self.servers.append(server)
-        return server
+        self.servers.append(Server(self, address))
+        return self.servers[-1]
 
     def roster_read(self, whole: bool, cached: bool) -> None:
         for server in [s for s in self.servers if whole and s.round != self.round]:
@@ -441,9 +442,9 @@
             self.panel.calm_asked = self.panel.asked.since(self.host.clock - ASKED_OVER)
         self.build, self.stage, self.phase, self.cap = build, stage, phase, cap
         if moved:
-            seen = self.trial is not None and self.trial.build == build and phase is Phase.RELEASED
-            judged = seen or phase is Phase.TRIAL
-            self.trial = Trial(self, build, stage, phase, self.host.clock - age) if judged else None
+            known = phase is Phase.RELEASED and self.trial is not None and self.trial.build == build
+            trial = Trial(self, build, stage, phase, self.host.clock - age)
+            self.trial = trial if known or phase is Phase.TRIAL else None
             self.rouse(LOOK)
 
     def vote_answered(self, receipt: Receipt) -> None:
@@ -516,9 +517,10 @@
         return self.pick(side) if side else None
 
     def pick(self, servers: Sequence[Server]) -> Server:
-        """Two random choices, weighted by warmth. A cold server is never the better of two: guards against
-        all umpires being drawn to it by its empty queue."""
-        edges = list(accumulate(s.warmth() for s in servers))
+        """Two random choices, weighted by warmth and way: guards against links that are slow, lossy or cut. A
+        cold server is never the better of two: guards against all umpires being drawn to its empty queue."""
+        ways = {zone: 1 / way.mean() ** 2 for zone, way in self.ways.items()}
+        edges = list(accumulate(s.warmth() * ways.get(s.zone, 1.0) for s in servers))
         one, other = (servers[bisect_left(edges, self.chance() * edges[-1])] for _ in "12")
         return other if other.warm_at <= self.host.clock and other.cost() < one.cost() else one
 
@@ -539,12 +541,17 @@
             self.beat_at = self.host.clock + after
             self.host.wake(after, self.beat)
 
+    def was_away(self) -> bool:
+        """Guards against this umpire's own pauses: all that then comes at once looks slow, and was not."""
+        self.back_at = self.host.clock if self.host.clock > self.beat_at + LOOK else self.back_at
+        return self.back_at == self.host.clock
+
     def beat(self) -> None:
         now = self.host.clock
         if now < self.beat_at - SLIP / 2:
-            return  # an earlier one has taken its place
-        self.beat_at = inf
-        for server in [s for s in dict.fromkeys(r.server for r in self.open) if s.stalled()]:
+            return  # an earlier one took its place
+        away, self.beat_at = self.was_away(), inf
+        for server in [s for s in dict.fromkeys(r.server for r in self.open) if not away and s.stalled()]:
             server.rest(2)  # what it holds goes elsewhere where it may
             for held, relay in [(r.transaction, r) for r in server.out if self.charter.may_withdraw]:
                 if not held.closed and any(s.awake() and held.may_go(s) for s in self.ready):
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -193,6 +193,30 @@
     assert not desk.votes
 
 
+def test_a_slow_way_is_avoided_and_blames_nobody() -> None:
+    # A slow, lossy link between zones had a good build sent back and half of all answers late.
+    desk = on_trial((1, 1, 1, 1))
+    for _ in range(200):
+        transaction = desk.take(0)
+        far = transaction.relays[0].server.zone == 1
+        desk.clock += 0.05
+        transaction.relay_ended(0, Outcome.HANDLED, True, 1.1 if far else 0.1, ())
+    late = [s.zone for _, s, _, _ in desk.relays[50:]]
+    assert sum(late) < 0.2 * len(late)
+    assert sum(x.bins[-2] + x.bins[-3] + x.bins[-4] for x in desk.umpire.panel.lately.values()) < 8
+
+
+def test_own_pauses_are_nobodys_slowness() -> None:
+    # Umpires that stood still for a second or two took their servers for stalled and their build for slow.
+    desk = Desk(builds=(1, 1, 1))
+    held = desk.take(0)
+    desk.clock += 2.0
+    desk.wait(0.0)
+    assert held.relays[0].server.awake()
+    held.relay_ended(0, Outcome.HANDLED, True, 2.0, ())
+    assert not desk.umpire.panel.lately and held.relays[0].server.pace.mean() == 1.0
+
+
 def test_the_platforms_counts_judge_where_umpires_cannot_speak() -> None:
     for errored, verdict in ((0, Verdict.ON), (8, Verdict.BACK)):
         desk = on_trial((1, 1, 2, 2))
