Few servers in use per umpire; slowness everywhere tried by holding the trial

An umpire now draws from as many servers as it can keep in use, rotated by its number, and, while new connections fail, less from those without one. Slowness everywhere no longer sends a build back by itself: all umpires send the trial nothing for 4.5 s, and only if that ends the slowness it was the build; else it is taken for usual.

--- a/stepsail/adapter/frames.py
+++ b/stepsail/adapter/frames.py
@@ -40,7 +40,7 @@
 BALLOT = Struct("<BHHBB")
 TEXT_MOST = 0xFFFF
 
-SEEN_HEAD = Struct("<cdH")  # an umpire's word to a judge: kind, sender's clock, first tries taken,
+SEEN_HEAD = Struct("<cd")  # an umpire's word to a judge: kind, sender's clock,
 SEEN = Struct("<6sHBB")  # and outcomes: server, build, product, bin,
 SEEN_MOST = (256 - SEEN_HEAD.size) // SEEN.size  # of which one message holds so many
 FOUND = Struct("<cdHBB")  # a judge's word to all: kind, sender's clock, build, stage, verdict
@@ -183,6 +183,7 @@
         guarded_stages=found.whole("Domain.ClosedStages"), one_way=found.flag("Domain.OneWay"),
         by_product=found.word("Domain.CountedBy") == "each_class", free=found.number("Domain.Uncounted"),
         window=found.span("Domain.CountedOverMs"), vote_life=found.span("Domain.VoteStandsMs"),
+        idle_for=found.span("Limits.ConnIdleMs"),
         vote_wait=found.span("Domain.ApiTimeoutMs"), votes_per_s=found.number("Domain.VoteAllowance"),
         tenant_shares=tuple(found.number(f"Realms.{i}.Share") for i in tenants),
         tenant_quotas=tuple(found.number(f"Realms.{i}.QuotaPerS") for i in tenants))
--- a/stepsail/adapter/host.py
+++ b/stepsail/adapter/host.py
@@ -69,11 +69,10 @@
     def tell(self, to: int, text: bytes) -> None:
         self.reply.add(frames.PUBLISH, 23, self.who, to, len(text), tail=text)
 
-    def tell_seen(self, neighbour: int, tries: int,
-                  seen: Sequence[tuple[ServerHandle, int, int, int]]) -> None:
-        """First tries taken and outcomes seen (server, build, product, bin), in as many words as needed."""
-        for at in range(0, max(1, len(seen)), frames.SEEN_MOST):
-            head = frames.SEEN_HEAD.pack(b"S", self.clock + at * 1e-6, 0 if at else min(tries, 0xFFFF))
+    def tell_seen(self, neighbour: int, seen: Sequence[tuple[ServerHandle, int, int, int]]) -> None:
+        """Outcomes seen (server, build, product, bin), in as many words as they need."""
+        for at in range(0, len(seen), frames.SEEN_MOST):
+            head = frames.SEEN_HEAD.pack(b"S", self.clock + at * 1e-6)
             self.tell(neighbour, head + b"".join(
                 frames.SEEN.pack(server.address, *rest) for server, *rest in seen[at:at + frames.SEEN_MOST]))
 
@@ -93,7 +92,6 @@
             if said[2] in tuple(Verdict):
                 self.umpire.neighbour_found(neighbour, said[0], said[1], Verdict(said[2]))
             return
-        self.umpire.neighbour_asked(said[0])
         whole = len(text) - (len(text) - layout.size) % frames.SEEN.size
         for address, build, product, place in frames.SEEN.iter_unpack(text[layout.size:whole]):
             if address in self.servers:
--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -2,8 +2,8 @@
 
 A host makes `Umpire(charter, host, seed)` and calls it: `meet` for a new server (its handle is then told
 `listed`, `probed`, `contested`), `roster_read` after each list, `take` for a transaction (its handle is told
-`relay_ended`, `client_left`), and the other calls as things happen. What it wants done it asks of `host`.
-Both sides' types stand in `stepsail/interface.py`; the test keeps its source's words (`docs/design.md`).
+`relay_ended`, `client_left`), and other calls as things happen. What it wants it asks of `host`. Both sides'
+types stand in `stepsail/interface.py`; the test keeps its source's words (`docs/design.md`).
 """
 
 from __future__ import annotations
@@ -24,23 +24,22 @@
 LEAST, LEAN = 6, 1.0  # new-build outcomes that vote on, unless the log of the evidence against it is above
 SLOWER, FAULTS = 1.35, 0.004  # times that a good build's relays may take; share that fails on any build
 GUESSES = (0.04, 0.12, 0.35, 0.75)  # excess shares that a build is tried for: rare faults to a failed product
-SLOW_FOR = 3.0  # s that all servers' slowness must outlast on a trial; longer than most bursts
+CLEAR, HELD = 1.5, 4.5  # s of a held trial until what was sent before has ended; in all
 FADE = (3.0, 0.5, 0.8)  # s between fadings; what of the latest sample, and of a server's own, each leaves
-ASKED_OVER, BUSIER = 4.0, 1.4  # s, and times the calm first tries in them: beyond, slowness may be the load
 JUDGES, TELL_EVERY = 3, 1.0  # umpires that pool what all saw, as one or two may be cut off; s between words
 YOUNG, PATIENT, MOST_START = 3.0, 3.7, 11.7  # s from a start to evidence; to an on; if servers are missing
 RENEW, VOTE_PAUSE = 0.7, 0.5  # share of its life when a vote is renewed; s before one not counted is recast
 BEAT, LOOK, SLIP = 0.05, 0.2, 0.02  # s between looks at waiting ones; at relays, evidence; kept for safety
 ASK_AGAIN = (0.8, 4.0)  # s; first and longest pause after a failed roster call; calls must not pile up
 REST, MOST_SILENT = 0.5, 4  # s of a silent server's first rest, a stall's length; lost relays that double it
-PACE_KEPT, OLD_LOAD = 16, 2.0  # outcomes after which a pace is halved; s after which a load report is stale
+PACE_KEPT, KEPT, OLD_LOAD = 16, 4000, 2.0  # outcomes to a halving; times kept; s until a report is stale
 QUEUE, RATE_OVER = 0.5, 2.0  # share of the shortest target that open relays take at the rate of answers; s
-FEW_OPEN, STALL = 2.5, 4.0  # relays each umpire may have open, and a server; usual times of its silence
+FEWEST, FEW_OPEN, STALL = 4, 2.5, 4.0  # servers kept in use; relays open, each way; usual times of silence
 SPARE, WAIT = 2.0, 0.25  # usual times that one waiting must have left; share of its target it may always wait
-KEPT = 4000  # transactions counted at most in any window; more than one umpire takes in one
 COLD_PART = 0.5  # of what fells a cold server, sent if the fleet is asked for all it can do; bursts on top
-FAR = 3.0  # times the best way's pace from which a slow answer speaks of the way to a zone, not of a build
-PRIOR, CROSSING = 0.2, 0.5  # share of a target time taken as usual at first; relays' worth of a far way
+PRIOR, CROSSING, FAR = 0.2, 0.5, 3.0  # of a target, usual at first; rarer crossings; paces that blame the way
+
+
 
 
 def radius(n: float, level: float) -> float:
@@ -66,12 +65,11 @@
 
 
 def gap(before: Samples, fresh: Samples) -> tuple[float, float, float]:
-    """Largest excess of the earlier build's distribution over the new one's, and the outcomes behind each."""
+    """Largest excess of the earlier build's distribution, products mixed as in the new one's; both counts."""
     both = [p for p in sorted(fresh) if p in before and fresh[p].n and before[p].n]
     n, m = sum(fresh[p].n for p in both), sum(before[p].n for p in both)
     widest = below = 0.0
     for edge in range(len(EDGES) if n and m else 0):
-        # each product by the new build's mix: guards against a mix that shifts within a stage
         below += sum(before[p].bins[edge] / before[p].n * fresh[p].n - fresh[p].bins[edge] for p in both) / n
         widest = max(widest, below)
     return widest, n, m
@@ -123,8 +121,8 @@
     def __init__(self, umpire: Umpire, address: bytes) -> None:
         self.umpire, self.address = umpire, address
         self.state, self.zone, self.cell, self.build, self.round = Listed.GONE, 0, 0, 0, 0
-        self.since = self.warm_at = self.load = self.load_at = self.rest_until = 0.0
-        self.heard_at, self.open_then, self.silent = 0.0, 0, 0
+        self.since = self.warm_at = self.load = self.heard_at = self.rest_until = 0.0
+        self.open_then, self.silent = 0, 0
         self.out, self.pace, self.seen = list[Relay](), Pace(), dict[int, Sample]()
 
     def listed(self, zone: int, cell: int, build: int, state: int, since: float, size: float) -> None:
@@ -142,18 +140,24 @@
         ways = self.umpire.ways
         return ways[self.zone].mean() / min(w.mean() for w in ways.values()) if self.zone in ways else 1.0
 
+    def weight(self) -> float:
+        """Chance to be drawn, by warmth and way; while connects fail, less for one without connection."""
+        umpire, charter = self.umpire, self.umpire.charter
+        unopened = umpire.connects.mean() if self.heard_at < umpire.host.clock - charter.idle_for else 0.0
+        far = 1 + CROSSING if charter.crossing_price and self.zone != charter.zone else 1.0
+        return self.warmth() * (1 - unopened) / self.way() ** 2 / far
+
     def cost(self) -> float:
-        known = self.umpire.host.clock - self.load_at < OLD_LOAD
+        known = self.umpire.host.clock - self.heard_at < OLD_LOAD
         held = max(self.load + len(self.out) - self.open_then if known else 0.0, len(self.out))
-        far = self.umpire.charter.crossing_price and self.zone != self.umpire.charter.zone
-        return (held / self.warmth() + 1) * self.pace.mean() + (CROSSING if far else 0.0)
+        return (held / self.warmth() + 1) * self.pace.mean()
 
     def heard(self, report: Sequence[float]) -> None:
         columns = self.umpire.charter.report_columns
         for held in ("q", "rif") if len(report) == len(columns) else ():
             if held in columns:
                 self.load = report[columns.index(held)] + (len(self.out) if held == "q" else 0)
-                self.open_then, self.load_at = len(self.out), self.umpire.host.clock
+                self.open_then, self.heard_at = len(self.out), self.umpire.host.clock
 
     def awake(self) -> bool:
         return self.state is Listed.READY and self.rest_until <= self.umpire.host.clock
@@ -161,9 +165,8 @@
     def stalled(self) -> bool:
         """Guards against a server that takes relays and falls silent (cut off, stopped, dead behind live
         connections) before the first of them runs out of time. Harms: one heavy relay on a quiet server."""
-        now, usual = self.umpire.host.clock, self.out[0].transaction.usual.mean()
-        return (self.rest_until <= now
-                and now - max(self.out[0].at, self.heard_at) > max(REST, STALL * usual * self.way()))
+        now, patience = self.umpire.host.clock, STALL * self.out[0].transaction.usual.mean() * self.way()
+        return self.rest_until <= now and now - max(self.out[0].at, self.heard_at) > max(REST, patience)
 
     def relay_ended(self, outcome: Outcome, ratio: float, old_enough: bool) -> None:
         if outcome in (Outcome.HANDLED, Outcome.ERRORED, Outcome.FULL):
@@ -172,8 +175,7 @@
             self.silent = 0
             self.pace.add(ratio if old_enough else 1.0)
         elif outcome in (Outcome.UNREACHED, Outcome.BROKEN, Outcome.LATE, Outcome.ERRORED):
-            # Guards against servers that the roster calls ready but are dead, cut off or stalled, and against
-            # one that errs at once and so, never busy, draws transactions. Harms: bad luck of two.
+            # Guards against servers dead, cut off or stalled, or that err at once and, never busy, draw more.
             self.rest(2 if outcome in (Outcome.UNREACHED, Outcome.BROKEN) else 1)
 
     def rest(self, silence: int) -> None:
@@ -193,6 +195,7 @@
         self.transaction, self.server, self.at = transaction, server, at
         self.build, self.zone, self.cell = server.build, server.zone, server.cell  # as they were when sent
         self.ended, self.may_have_run, self.old_enough = False, True, at - server.since >= YOUNG
+        self.opened = server.heard_at < at - transaction.umpire.charter.idle_for
 
 
 class Transaction:
@@ -210,9 +213,9 @@
         return next((r for r in self.relays if r.may_have_run), None)
 
     def may_go(self, server: Server) -> bool:
-        first = self.may_have_run()
-        if first is None or self.product.repeat is not Repeat.LABELLED:
-            return first is None or self.product.repeat is Repeat.REDOABLE
+        first, kind = self.may_have_run(), self.product.repeat
+        if first is None or kind is not Repeat.LABELLED:
+            return first is None or kind is Repeat.REDOABLE
         same = {Group.ALL: True, Group.ZONE: server.zone == first.zone, Group.CELL: server.cell == first.cell}
         return same[self.product.group] and self.umpire.host.clock < first.at + self.product.window - SLIP
 
@@ -253,17 +256,19 @@
         relay.server.heard(report)
         if outcome in (Outcome.HANDLED, Outcome.ERRORED):
             umpire.answers.append(umpire.host.clock)
+        if relay.opened:
+            umpire.connects.add(outcome is Outcome.UNREACHED)
         fair = not umpire.was_away()
         if outcome is Outcome.HANDLED and fair:
             self.usual.add(took)
         if fair and outcome not in (Outcome.ERRORED, Outcome.FULL, Outcome.UNSENT):
-            lost = 0.0 if outcome is Outcome.HANDLED else FAR
-            umpire.ways.setdefault(relay.zone, Pace()).add(max(lost, took / self.usual.mean()))
+            least = 0.0 if outcome is Outcome.HANDLED else FAR
+            umpire.ways.setdefault(relay.zone, Pace()).add(max(least, took / self.usual.mean()))
         relay.server.relay_ended(outcome, took / self.usual.mean(), fair and relay.old_enough)
-        # A silent server is one finding, not one for each relay that it held; unsent ones speak of no build.
-        mute = outcome is Outcome.LATE and (relay.server.silent > 1 or umpire.phase is Phase.RELEASED)
-        fair = fair and relay.old_enough and relay.server.way() < FAR
-        if fair and not mute and outcome in (Outcome.HANDLED, Outcome.ERRORED, Outcome.LATE):
+        # a silent server is one finding, not one for each relay that it held
+        late = outcome is Outcome.LATE and relay.server.silent <= 1 and umpire.phase is not Phase.RELEASED
+        if fair and relay.old_enough and relay.server.way() < FAR and (
+                late or outcome in (Outcome.HANDLED, Outcome.ERRORED)):
             share = took / self.product.abandon if outcome is Outcome.HANDLED else 1.0
             umpire.panel.learn(relay.server, relay.build, self.product.index, bisect_left(EDGES, share), True)
         if outcome is Outcome.HANDLED and self.key and umpire.on_trial(relay.build):
@@ -285,12 +290,13 @@
         self.umpire, charter = umpire, umpire.charter
         self.judges = sorted(range(charter.umpires), key=lambda number: crc32(b"%d" % number))[:JUDGES]
         self.pools = charter.neighbours and charter.me in self.judges
-        # where any one vote decides, or all stand for a judge's, the chances of a false one add up
+        # where any vote decides, false ones add up, and only judges, who know what all saw, say on
         voices = 1 if charter.control is Control.SHARE else max(1, charter.umpires)
+        says = self.pools or voices == 1 or not charter.neighbours
+        self.goes_on = says and charter.control is not Control.CLOCK
         self.level = LEVEL / (len(self.judges) if self.pools else voices)
         self.calm, self.lately, self.tallies = dict[int, Sample](), dict[int, Sample](), dict[int, Samples]()
-        self.asked, self.calm_asked, self.tries, self.new = Times(maxlen=KEPT), 0, 0, False
-        self.words, self.tell_at, self.fade_at = list[tuple[Server, int, int, int]](), 0.0, 0.0
+        self.words, self.tell_at, self.fade_at, self.new = list[tuple[Server, int, int, int]](), 0., 0., False
 
     def learn(self, server: Server, build: int, product: int, place: int, own: bool) -> None:
         trial = self.umpire.trial
@@ -304,12 +310,12 @@
     def tell(self) -> None:
         """Each umpire's outcomes go to a few judges, so that what is said grows with transactions alone."""
         umpire, trial = self.umpire, self.umpire.trial
-        for judge in self.judges if self.words or self.tries else ():
+        for judge in self.judges if self.words else ():
             if judge != umpire.charter.me:
-                umpire.host.tell_seen(judge, self.tries, self.words)
-        self.tell_at, self.tries, self.words = umpire.host.clock + TELL_EVERY, 0, []
-        if self.pools and umpire.charter.control is Control.SHARE and trial and trial.verdict:
-            umpire.host.tell_found(trial.build, trial.stage, trial.verdict)
+                umpire.host.tell_seen(judge, self.words)
+        self.tell_at, self.words = umpire.host.clock + TELL_EVERY, []
+        if self.pools and trial and trial.found:
+            umpire.host.tell_found(trial.build, trial.stage, trial.found)
 
     def fade(self) -> None:
         if self.umpire.host.clock >= self.fade_at:
@@ -320,46 +326,46 @@
 
 
 class Trial:
+    verdict = found = Verdict.NONE
+
     def __init__(self, umpire: Umpire, build: int, stage: int, phase: Phase, began: float) -> None:
         self.umpire, self.build, self.stage, self.phase, self.began = umpire, build, stage, phase, began
-        self.before, self.fresh = dict[int, Sample](), dict[int, Sample]()
-        self.cast_at, self.ask_at, self.slow_since = 0.0, 0.0, umpire.host.clock
-        self.verdict: Verdict = Verdict.NONE
-        # Faults are too rare to forget at each stage, and earlier servers may have been replaced.
-        self.all_before: Samples = {}
-        if umpire.trial and umpire.trial.build == build:
-            self.all_before, self.slow_since = umpire.trial.all_before, umpire.trial.slow_since
+        self.before, self.fresh, old = dict[int, Sample](), dict[int, Sample](), umpire.trial
+        self.cast_at = self.ask_at = self.held_at = self.hold_until = 0.0
+        self.all_before: Samples = old.all_before if old and old.build == build else {}  # faults are rare
 
     def sides(self, build: int) -> tuple[Samples, ...]:
         return (self.before, self.all_before) if build < self.build else (self.fresh,) * (build == self.build)
 
     def look(self, settled: bool) -> Verdict:
-        panel, now, level = self.umpire.panel, self.umpire.host.clock, self.umpire.panel.level
-        stage = self.phase is Phase.TRIAL and not self.umpire.charter.replaces
-        before = self.before if stage else self.all_before
+        umpire, panel, now = self.umpire, self.umpire.panel, self.umpire.host.clock
+        before = self.all_before if self.phase is Phase.RELEASED or umpire.charter.replaces else self.before
         wide, n, m = gap(before, self.fresh)
-        around = radius(n, level / 2) + radius(m, level / 2)
+        around = radius(n, panel.level / 2) + radius(m, panel.level / 2)
         # Guards against blaming the build for one server that errs: without the worst, doubt must remain.
-        mine = [s.seen for s in self.umpire.servers if s.build == self.build and s.seen]
+        mine = [s.seen for s in umpire.servers if s.build == self.build and s.seen]
         mine.sort(key=lambda seen: sum(x.bins[-1] for x in seen.values()))
         faults = doubts(self.all_before, merged(mine), (FAILED,))
         spread = doubts(self.all_before, merged(mine[:-1]), (FAILED,)) if len(mine) > 1 else faults
-        # Guards against umpires too quiet to judge: the platform's counts, of which all share one record, so
-        # that its level is not divided. Harms: it knows no servers, and may be late.
+        # Guards against umpires too quiet to judge: the platform's counts, one record, its level not divided.
         earlier = merged([panel.tallies[b] for b in sorted(panel.tallies) if b < self.build])
         counted = panel.tallies.get(self.build, {})
         common = doubts(earlier, counted, (FAILED,))
-        surely = log(2 / level)
+        surely = log(2 / panel.level)
         if wide - around > MARGIN or (faults > surely and spread > 0) or common > log(2 / LEVEL):
             return Verdict.BACK
-        # Guards against a build that slows all servers, which leaves no gap: relays lately against those from
-        # before the offer. More traffic, or a dependency that recovers, only holds. Harms: one that does not.
+        # Guards against a build that slows all servers, which leaves no gap: all send it nothing for a while.
+        # If that helps it was the build, else load, a dependency, lost servers. Harms: one ending just then.
         everywhere = doubts(panel.calm, panel.lately, range(FAILED))
-        if everywhere < surely / 2 or panel.asked.since(now - ASKED_OVER) > BUSIER * panel.calm_asked:
-            self.slow_since = now
-        elif everywhere > surely and now - self.slow_since > SLOW_FOR:
-            return Verdict.BACK
-        sound = spread < LEAN and faults < surely / 2 and common < LEAN and self.slow_since == now
+        if self.held_at and now < self.held_at + HELD:
+            panel.lately = panel.lately if now > self.held_at + CLEAR else {}
+            return Verdict.HOLD
+        if self.held_at:
+            self.held_at, panel.calm = 0.0, merged([panel.lately])
+            return Verdict.BACK if everywhere < 0 else Verdict.NONE
+        if everywhere > surely and self.phase is Phase.TRIAL:
+            self.held_at = now
+        sound = spread < LEAN and faults < surely / 2 and common < LEAN and everywhere < surely / 2
         enough = wide + around < TOLERANCE or max(n, sum(x.n for x in counted.values())) >= LEAST
         return Verdict.ON if settled and sound and enough else Verdict.NONE
 
@@ -367,26 +373,26 @@
         """Guards against an on too early: a stage's servers start, and are listed, one by one and late."""
         ready, charter, now = self.umpire.ready, self.umpire.charter, self.umpire.host.clock
         fresh = [s.since for s in ready if s.build == self.build]
+        places = len(ready) - (0 if charter.replaces else len(fresh))
         share = charter.shares[min(self.stage, len(charter.shares) - 1)]
-        places = len(ready) if charter.replaces else len(ready) - len(fresh)
         complete = len(fresh) >= max(1, ceil(share * places - 1e-6)) or now - self.began >= MOST_START
         return self.phase is Phase.TRIAL and complete and now - max(fresh, default=inf) >= PATIENT
 
     def reach(self, verdict: Verdict) -> None:
         """Guards against hundreds of votes at once: release control takes a fixed number a second."""
-        if verdict is not self.verdict:
+        if verdict is Verdict.HOLD:
+            self.hold_until = self.umpire.host.clock + 2 * TELL_EVERY
+        elif verdict is not self.verdict:
             late = 0.0 if self.umpire.panel.pools else self.umpire.vote_spread * self.umpire.chance()
             self.verdict, self.ask_at = verdict, self.umpire.host.clock + late
 
     def consider(self) -> None:
-        umpire, now, control = self.umpire, self.umpire.host.clock, self.umpire.charter.control
+        umpire, now = self.umpire, self.umpire.host.clock
         if self.verdict is Verdict.NONE and umpire.panel.new:
             umpire.panel.new = False
-            verdict = self.look(self.settled())
-            # where any vote decides, a build goes on by the judges, who know what all have seen of it
-            few = control is Control.ANY and umpire.charter.neighbours and not umpire.panel.pools
-            if verdict is Verdict.BACK or not (few or control is Control.CLOCK):
-                self.reach(verdict)
+            self.found = self.look(self.settled())
+            if umpire.panel.goes_on or self.found is not Verdict.ON:
+                self.reach(self.found)
         if self.verdict and now >= self.ask_at:
             umpire.host.vote(self.build, self.stage, self.verdict)
             self.cast_at, self.ask_at = now, now + umpire.charter.vote_wait + VOTE_PAUSE
@@ -399,12 +405,11 @@
         self.waiting, self.open, self.keys = list[Transaction](), list[Relay](), dict[int, int]()
         self.usual, self.ways = [Pace(PRIOR * p.target) for p in charter.products], dict[int, Pace]()
         self.allowances = [(Times(maxlen=KEPT), Times()) for _ in charter.products]  # taken, sent on trial
-        self.answers, self.panel = Times(maxlen=KEPT), Panel(self)
+        self.answers, self.taken, self.panel = Times(maxlen=KEPT), Times(maxlen=KEPT), Panel(self)
         self.vote_spread = charter.umpires / max(1.0, charter.votes_per_s)
-        self.shortest = min((p.target for p in charter.products), default=1.0)
         self.build, self.stage, self.phase, self.cap = -1, 0, Phase.RELEASED, 0.0
         self.trial: Trial | None = None
-        self.beat_at, self.back_at = inf, 0.0
+        self.beat_at, self.back_at, self.connects = inf, 0.0, Pace(0.0)
         self.asking, self.informed = ASK_AGAIN[0], not charter.must_ask
         self.watch()
 
@@ -419,7 +424,9 @@
     def roster_read(self, whole: bool, cached: bool) -> None:
         for server in [s for s in self.servers if whole and s.round != self.round]:
             server.state = Listed.GONE
-        self.round, self.ready = self.round + 1, [s for s in self.servers if s.state is Listed.READY]
+        ready = sorted((s for s in self.servers if s.state is Listed.READY), key=lambda s: s.address)
+        start = self.charter.me * len(ready) // max(1, self.charter.umpires)
+        self.round, self.ready = self.round + 1, ready[start:] + ready[:start]
         if not cached:
             self.informed, self.asking = True, ASK_AGAIN[0]
 
@@ -439,7 +446,6 @@
             return  # news of a build that a later one has followed
         if build > self.build:
             self.panel.calm, self.panel.lately = self.panel.lately, {}
-            self.panel.calm_asked = self.panel.asked.since(self.host.clock - ASKED_OVER)
         self.build, self.stage, self.phase, self.cap = build, stage, phase, cap
         if moved:
             known = phase is Phase.RELEASED and self.trial is not None and self.trial.build == build
@@ -451,8 +457,8 @@
         trial = self.trial
         if trial and trial.cast_at:  # one that did not count, or may have, is cast again
             kept = receipt is Receipt.COUNTED
-            again = RENEW * self.charter.vote_life if kept else VOTE_PAUSE + self.vote_spread
-            trial.ask_at = self.host.clock + again * (0.75 + 0.25 * self.chance())
+            pause = RENEW * self.charter.vote_life if kept else VOTE_PAUSE + self.vote_spread
+            trial.ask_at = self.host.clock + pause * (0.75 + 0.25 * self.chance())
 
     def tallied(self, build: int, product: int, count: int, errored: int, mean: float, age: float) -> None:
         if 0 <= errored <= count and 0 <= product < len(self.charter.products):
@@ -461,9 +467,6 @@
             sample.add(len(EDGES), errored)
             self.panel.new = True
 
-    def neighbour_asked(self, tries: int) -> None:
-        self.panel.asked.extend([self.host.clock] * tries)
-
     def neighbour_saw(self, server: Server, build: int, product: int, place: int) -> None:
         if product < len(self.charter.products) and (place <= len(EDGES) or place == CONTESTED):
             self.panel.learn(server, build, product, place, False)
@@ -471,15 +474,14 @@
     def neighbour_found(self, neighbour: int, build: int, stage: int, verdict: Verdict) -> None:
         """Guards against umpires that see too little: where votes add up, all stand for a judge's finding."""
         trial = self.trial
-        if trial and (trial.build, trial.stage) == (build, stage) and neighbour in self.panel.judges and (
-                verdict is Verdict.BACK or (verdict is Verdict.ON and trial.verdict is Verdict.NONE)):
+        if trial and (trial.build, trial.stage, neighbour in self.panel.judges) == (build, stage, True) and (
+                verdict is not Verdict.ON or trial.verdict is Verdict.NONE):
             trial.reach(verdict)
 
     def take(self, number: int, product: int, tenant: int, effort: float | None, until: float, key: int,
              again: bool) -> Transaction:
         transaction = Transaction(self, number, product, until, key, again)
-        self.panel.tries += not again
-        for times in (self.allowance(transaction)[0], *([] if again else [self.panel.asked])):
+        for times in (self.allowance(transaction)[0], self.taken):
             times.append(self.host.clock)
         transaction.dispatch()
         return transaction
@@ -497,7 +499,8 @@
         guarded = told[0] < self.charter.guarded_stages and transaction.product.repeat is not Repeat.REDOABLE
         start, (taken, sent) = self.host.clock - self.charter.window, self.allowance(transaction)
         left = self.charter.free + told[1] * taken.since(start + SLIP) - sent.since(start - SLIP)
-        return not guarded and told[1] > 0 and left >= 1
+        held = self.trial is not None and self.host.clock < self.trial.hold_until
+        return not (guarded or held) and told[1] > 0 and left >= 1
 
     def choose(self, transaction: Transaction) -> Server | None:
         now, tried = self.host.clock, [r.server for r in transaction.relays]
@@ -509,25 +512,25 @@
         trials = {b: self.may_expose(transaction, b) for b in {s.build for s in ready} if self.on_trial(b)}
         news, olds = [s for s in ready if trials.get(s.build)], [s for s in ready if s.build not in trials]
         part, rest = (sum(s.warmth() for s in side) for side in (news, olds))
-        # Guards against umpires, however many, pushing cold servers over together where few others are awake:
-        # each transaction has one draw for them, which holds the sum. Harms: fewer are handled.
+        # Guards against any number of umpires felling cold servers where few others are awake: one draw each.
         if transaction.luck * len(self.ready) > COLD_PART * self.charter.fall_multiple * (part + rest):
             news, olds = ([s for s in side if s.warm_at <= now] for side in (news, olds))
         side = news if news and (not olds or self.chance() * (part + rest) < part) else olds
         return self.pick(side) if side else None
 
     def pick(self, servers: Sequence[Server]) -> Server:
-        """Two random choices, weighted by warmth and way: guards against links that are slow, lossy or cut. A
-        cold server is never the better of two: guards against all umpires being drawn to its empty queue."""
-        ways = {zone: 1 / way.mean() ** 2 for zone, way in self.ways.items()}
-        edges = list(accumulate(s.warmth() * ways.get(s.zone, 1.0) for s in servers))
+        """Two random choices, of a few servers, even over umpires: guards against connections slow to open or
+        closed for want of use. A cold one is never the better: guards against a rush to empty queues."""
+        kept = max(FEWEST, self.taken.since(self.host.clock - self.charter.idle_for / 2)) / len(self.ready)
+        edges = list(accumulate(s.weight() for s in servers[:ceil(kept * len(servers)) + 1]))
         one, other = (servers[bisect_left(edges, self.chance() * edges[-1])] for _ in "12")
         return other if other.warm_at <= self.host.clock and other.cost() < one.cost() else one
 
     def has_room(self) -> bool:
         """Guards against overload of any cause: open relays are held to the rate of answers; harms: a rise"""
         few = FEW_OPEN * (1 + len(self.ready) / max(1, self.charter.umpires))
-        timely = self.answers.since(self.host.clock - RATE_OVER) / RATE_OVER * QUEUE * self.shortest
+        shortest = min(p.target for p in self.charter.products)
+        timely = self.answers.since(self.host.clock - RATE_OVER) / RATE_OVER * QUEUE * shortest
         return sum(relay.server.awake() for relay in self.open) < max(few, timely)
 
     def serve_waiting(self) -> None:
--- a/stepsail/interface.py
+++ b/stepsail/interface.py
@@ -122,6 +122,7 @@
     cold_from: float
     cold_for: float
     fall_multiple: float
+    idle_for: float
     control: Control
     replaces: bool
     bake: float
@@ -184,8 +185,6 @@
     def tallied(self, build: int, product: int, count: int, errored: int, mean: float,
                 age: float) -> None: ...
 
-    def neighbour_asked(self, tries: int) -> None: ...
-
     def neighbour_saw(self, server: Any, build: int, product: int, place: int) -> None: ...
 
     def neighbour_found(self, neighbour: int, build: int, stage: int, verdict: Verdict) -> None: ...
@@ -214,8 +213,7 @@
 
     def watch_roster(self) -> None: ...
 
-    def tell_seen(self, neighbour: int, tries: int,
-                  seen: Sequence[tuple[ServerHandle, int, int, int]]) -> None: ...
+    def tell_seen(self, neighbour: int, seen: Sequence[tuple[ServerHandle, int, int, int]]) -> None: ...
 
     def tell_found(self, build: int, stage: int, verdict: Verdict) -> None: ...
 
