A server not heard of yet counts as unconnected, whatever the clock shows

The new test of connections was red: it took servers used 10 to 15 s ago for unconnected; beside it, a clock that starts low would have made a server never heard of look connected.

--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -121,8 +121,8 @@
     def __init__(self, umpire: Umpire, address: bytes) -> None:
         self.umpire, self.address = umpire, address
         self.state, self.zone, self.cell, self.build, self.round = Listed.GONE, 0, 0, 0, 0
-        self.since = self.warm_at = self.load = self.heard_at = self.rest_until = 0.0
-        self.open_then, self.silent = 0, 0
+        self.since = self.warm_at = self.load = self.rest_until = 0.0
+        self.open_then, self.silent, self.heard_at = 0, 0, -inf
         self.out, self.pace, self.seen = list[Relay](), Pace(), dict[int, Sample]()
 
     def listed(self, zone: int, cell: int, build: int, state: int, since: float, size: float) -> None:
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -246,7 +246,7 @@
     assert 1 < len(used) < 12
     for _ in range(9):
         desk.umpire.connects.add(1.0)
-    unused = [s for s in desk.servers if id(s) not in used]
+    unused = [s for s in desk.servers if s.heard_at < 0]
     assert min(s.weight() for s in used.values()) > 2 * max(s.weight() for s in unused)
 
 
