--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -244,7 +244,7 @@
         desk.wait(1.0)
     used = {id(s): s for _, s, at, _ in desk.relays if at > desk.clock - 10}
     assert 1 < len(used) < 12
-    for _ in range(9):
+    for _ in range(30):
         desk.umpire.connects.add(1.0)
     unused = [s for s in desk.servers if s.heard_at < 0]
     assert min(s.weight() for s in used.values()) > 2 * max(s.weight() for s in unused)
