Losses on the way blame no build: late only if the server spoke, counts only with an own error

Cause: relays lost in a cut zone or on a slow link counted as failed on the build whose few servers stood there, pooled over all umpires or in the platform's counts; good builds went back (a line in the log now says by what). A late relay now counts only if its server was heard from since; the counts are used only where umpires cannot speak to each other, their failures only while no way is bad, and they send back only with an own error seen. Findings are told at once; the first votes of an allowance are known to be taken together.

--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -28,7 +28,7 @@
 FADE = (3.0, 0.5, 0.8)  # s between fadings; what of the latest sample, and of a server's own, each leaves
 JUDGES, TELL_EVERY = 3, 1.0  # umpires that pool what all saw, as one or two may be cut off; s between words
 YOUNG, PATIENT, MOST_START = 3.0, 3.7, 11.7  # s from a start to evidence; to an on; if servers are missing
-RENEW, VOTE_PAUSE = 0.7, 0.5  # share of its life when a vote is renewed; s before one not counted is recast
+RENEW, VOTE_PAUSE, BURST = 0.7, 0.5, 2.0  # share of a vote's life; s to a recast; s of votes taken at once
 BEAT, LOOK, SLIP = 0.05, 0.2, 0.02  # s between looks at waiting ones; at relays, evidence; kept for safety
 ASK_AGAIN = (0.8, 4.0)  # s; first and longest pause after a failed roster call; calls must not pile up
 REST, MOST_SILENT = 0.5, 4  # s of a silent server's first rest, a stall's length; lost relays that double it
@@ -265,10 +265,10 @@
             least = 0.0 if outcome is Outcome.HANDLED else FAR
             umpire.ways.setdefault(relay.zone, Pace()).add(max(least, took / self.usual.mean()))
         relay.server.relay_ended(outcome, took / self.usual.mean(), fair and relay.old_enough)
-        # a silent server is one finding, not one for each relay that it held
-        late = outcome is Outcome.LATE and relay.server.silent <= 1 and umpire.phase is not Phase.RELEASED
-        if fair and relay.old_enough and relay.server.way() < FAR and (
-                late or outcome in (Outcome.HANDLED, Outcome.ERRORED)):
+        # guards against blaming a build for servers lost, cut off or stalled: one not heard of says nothing
+        late = outcome is Outcome.LATE and relay.server.heard_at > relay.at
+        spoke = late or outcome in (Outcome.HANDLED, Outcome.ERRORED)
+        if spoke and fair and relay.old_enough and relay.server.way() < FAR:
             share = took / self.product.abandon if outcome is Outcome.HANDLED else 1.0
             umpire.panel.learn(relay.server, relay.build, self.product.index, bisect_left(EDGES, share), True)
         if outcome is Outcome.HANDLED and self.key and umpire.on_trial(relay.build):
@@ -292,8 +292,8 @@
         self.pools = charter.neighbours and charter.me in self.judges
         # where any vote decides, false ones add up, and only judges, who know what all saw, say on
         voices = 1 if charter.control is Control.SHARE else max(1, charter.umpires)
-        says = self.pools or voices == 1 or not charter.neighbours
-        self.goes_on = says and charter.control is not Control.CLOCK
+        sure = self.pools or voices == 1 or not charter.neighbours
+        self.goes_on = sure and charter.control is not Control.CLOCK
         self.level = LEVEL / (len(self.judges) if self.pools else voices)
         self.calm, self.lately, self.tallies = dict[int, Sample](), dict[int, Sample](), dict[int, Samples]()
         self.words, self.tell_at, self.fade_at, self.new = list[tuple[Server, int, int, int]](), 0., 0., False
@@ -347,15 +347,16 @@
         mine.sort(key=lambda seen: sum(x.bins[-1] for x in seen.values()))
         faults = doubts(self.all_before, merged(mine), (FAILED,))
         spread = doubts(self.all_before, merged(mine[:-1]), (FAILED,)) if len(mine) > 1 else faults
-        # Guards against umpires too quiet to judge: the platform's counts, one record, its level not divided.
+        # Guards against umpires too quiet to judge: the platform's counts, which hold losses on the way too.
         earlier = merged([panel.tallies[b] for b in sorted(panel.tallies) if b < self.build])
         counted = panel.tallies.get(self.build, {})
         common = doubts(earlier, counted, (FAILED,))
         surely = log(2 / panel.level)
-        if wide - around > MARGIN or (faults > surely and spread > 0) or common > log(2 / LEVEL):
+        if wide - around > MARGIN or (faults > surely and spread > 0) or (
+                common > log(2 / LEVEL) and faults > LEAN):
+            umpire.host.note(f"back: gap {wide:.2f} ± {around:.2f}, faults {faults:.1f}, counts {common:.1f}")
             return Verdict.BACK
-        # Guards against a build that slows all servers, which leaves no gap: all send it nothing for a while.
-        # If that helps it was the build, else load, a dependency, lost servers. Harms: one ending just then.
+        # Guards against a build that slows all servers: all hold it for a while. Harms: one that ends then.
         everywhere = doubts(panel.calm, panel.lately, range(FAILED))
         if self.held_at and now < self.held_at + HELD:
             panel.lately = panel.lately if now > self.held_at + CLEAR else {}
@@ -384,13 +385,12 @@
             self.hold_until = self.umpire.host.clock + 2 * TELL_EVERY
         elif verdict is not self.verdict:
             late = 0.0 if self.umpire.panel.pools else self.umpire.vote_spread * self.umpire.chance()
-            self.verdict, self.ask_at = verdict, self.umpire.host.clock + late
+            self.verdict, self.ask_at, self.umpire.panel.tell_at = verdict, self.umpire.host.clock + late, 0.0
 
     def consider(self) -> None:
         umpire, now = self.umpire, self.umpire.host.clock
         if self.verdict is Verdict.NONE and umpire.panel.new:
-            umpire.panel.new = False
-            self.found = self.look(self.settled())
+            self.found, umpire.panel.new = self.look(self.settled()), False
             if umpire.panel.goes_on or self.found is not Verdict.ON:
                 self.reach(self.found)
         if self.verdict and now >= self.ask_at:
@@ -406,7 +406,7 @@
         self.usual, self.ways = [Pace(PRIOR * p.target) for p in charter.products], dict[int, Pace]()
         self.allowances = [(Times(maxlen=KEPT), Times()) for _ in charter.products]  # taken, sent on trial
         self.answers, self.taken, self.panel = Times(maxlen=KEPT), Times(maxlen=KEPT), Panel(self)
-        self.vote_spread = charter.umpires / max(1.0, charter.votes_per_s)
+        self.vote_spread = max(0.1, charter.umpires / max(1.0, charter.votes_per_s) - BURST)
         self.build, self.stage, self.phase, self.cap = -1, 0, Phase.RELEASED, 0.0
         self.trial: Trial | None = None
         self.beat_at, self.back_at, self.connects = inf, 0.0, Pace(0.0)
@@ -427,8 +427,7 @@
         ready = sorted((s for s in self.servers if s.state is Listed.READY), key=lambda s: s.address)
         start = self.charter.me * len(ready) // max(1, self.charter.umpires)
         self.round, self.ready = self.round + 1, ready[start:] + ready[:start]
-        if not cached:
-            self.informed, self.asking = True, ASK_AGAIN[0]
+        self.informed |= not cached
 
     def roster_failed(self) -> None:
         self.informed = False
@@ -448,20 +447,21 @@
             self.panel.calm, self.panel.lately = self.panel.lately, {}
         self.build, self.stage, self.phase, self.cap = build, stage, phase, cap
         if moved:
-            known = phase is Phase.RELEASED and self.trial is not None and self.trial.build == build
-            trial = Trial(self, build, stage, phase, self.host.clock - age)
-            self.trial = trial if known or phase is Phase.TRIAL else None
+            known = self.trial is not None and self.trial.build == build
+            fresh = Trial(self, build, stage, phase, self.host.clock - age)
+            self.trial = fresh if phase is Phase.TRIAL or (known and phase is Phase.RELEASED) else None
             self.rouse(LOOK)
 
     def vote_answered(self, receipt: Receipt) -> None:
-        trial = self.trial
+        trial, kept = self.trial, receipt is Receipt.COUNTED
         if trial and trial.cast_at:  # one that did not count, or may have, is cast again
-            kept = receipt is Receipt.COUNTED
             pause = RENEW * self.charter.vote_life if kept else VOTE_PAUSE + self.vote_spread
             trial.ask_at = self.host.clock + pause * (0.75 + 0.25 * self.chance())
 
     def tallied(self, build: int, product: int, count: int, errored: int, mean: float, age: float) -> None:
-        if 0 <= errored <= count and 0 <= product < len(self.charter.products):
+        # not where neighbours speak, who know servers and ways; while a way is bad, the losses are the way's
+        errored *= all(s.way() < FAR for s in self.ready)
+        if not self.charter.neighbours and 0 <= errored <= count and product < len(self.charter.products):
             sample = self.panel.tallies.setdefault(build, {}).setdefault(product, Sample())
             sample.add(0, count - errored)
             sample.add(len(EDGES), errored)
@@ -552,7 +552,7 @@
     def beat(self) -> None:
         now = self.host.clock
         if now < self.beat_at - SLIP / 2:
-            return  # an earlier one took its place
+            return  # one set earlier
         away, self.beat_at = self.was_away(), inf
         for server in [s for s in dict.fromkeys(r.server for r in self.open) if not away and s.stalled()]:
             server.rest(2)  # what it holds goes elsewhere where it may
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -257,6 +257,9 @@
         desk.umpire.tallied(1, 0, 3, 9, 0.1, 1.0)  # more failures than relays
         desk.wait(13.0)
         desk.umpire.tallied(2, 0, 40, errored, 0.1, 1.0)
+        for _ in range(40):
+            desk.umpire.panel.learn(desk.servers[0], 1, 0, 3, True)
+        desk.umpire.panel.learn(desk.servers[2], 2, 0, FAILED + 1 if errored else 3, True)
         desk.wait(1.0)
         assert {v for _, _, v in desk.votes} == {verdict}
 
