A congestion window per umpire; three umpires vote at once and the others stand by

Each umpire now opens as many relays as its window holds, narrower by one for each late answer over a good way; where one vote decides, three umpires by number vote at once, the rest only if nothing has moved after 3 s. Holds against any slow fleet; could harm a product that is always late.

--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -28,13 +28,12 @@
 FADE = (3.0, 0.5, 0.8)  # s between fadings; what of the latest sample, and of a server's own, each leaves
 JUDGES, TELL_EVERY = 3, 1.0  # umpires that pool what all saw, as one or two may be cut off; s between words
 YOUNG, PATIENT, MOST_START = 3.0, 3.7, 11.7  # s from a start to evidence; to an on; if servers are missing
-RENEW, VOTE_PAUSE, BURST = 0.7, 0.5, 2.0  # share of a vote's life; s to a recast; s of votes taken at once
+RENEW, VOTE_PAUSE, BURST, STAND_BY = 0.7, 0.5, 2.0, 3.0  # of a vote's life; s: recast, at once, others first
 BEAT, LOOK, SLIP = 0.05, 0.2, 0.02  # s between looks at waiting ones; at relays, evidence; kept for safety
 ASK_AGAIN = (0.8, 4.0)  # s; first and longest pause after a failed roster call; calls must not pile up
 REST, MOST_SILENT = 0.5, 4  # s of a silent server's first rest, a stall's length; lost relays that double it
 PACE_KEPT, KEPT, OLD_LOAD = 16, 4000, 2.0  # outcomes to a halving; times kept; s until a report is stale
-QUEUE, RATE_OVER = 0.5, 2.0  # share of the shortest target that open relays take at the rate of answers; s
-FEWEST, FEW_OPEN, STALL = 4, 2.5, 4.0  # servers kept in use; relays open, each way; usual times of silence
+FEWEST, WINDOW, STALL = 4, 4.0, 4.0  # servers kept in use; relays open at first; usual times of silence
 SPARE, WAIT = 2.0, 0.25  # usual times that one waiting must have left; share of its target it may always wait
 COLD_PART = 0.5  # of what fells a cold server, sent if the fleet is asked for all it can do; bursts on top
 PRIOR, CROSSING, FAR = 0.2, 0.5, 3.0  # of a target, usual at first; rarer crossings; paces that blame the way
@@ -187,7 +186,7 @@
         self.heard(report)
 
     def contested(self, product: int, since: float) -> None:
-        self.umpire.panel.learn(self, self.build, product, CONTESTED, True)
+        self.umpire.panel.learn(self, self.build, product, CONTESTED)
 
 
 class Relay:
@@ -254,8 +253,6 @@
         relay.server.out.remove(relay)
         umpire.open.remove(relay)
         relay.server.heard(report)
-        if outcome in (Outcome.HANDLED, Outcome.ERRORED):
-            umpire.answers.append(umpire.host.clock)
         if relay.opened:
             umpire.connects.add(outcome is Outcome.UNREACHED)
         fair = not umpire.was_away()
@@ -265,12 +262,13 @@
             least = 0.0 if outcome is Outcome.HANDLED else FAR
             umpire.ways.setdefault(relay.zone, Pace()).add(max(least, took / self.usual.mean()))
         relay.server.relay_ended(outcome, took / self.usual.mean(), fair and relay.old_enough)
-        # guards against blaming a build for servers lost, cut off or stalled: one not heard of says nothing
-        late = outcome is Outcome.LATE and relay.server.heard_at > relay.at
-        spoke = late or outcome in (Outcome.HANDLED, Outcome.ERRORED)
-        if spoke and fair and relay.old_enough and relay.server.way() < FAR:
+        spoke = outcome in (Outcome.HANDLED, Outcome.ERRORED) or (  # a server lost or cut off blames no build
+            outcome is Outcome.LATE and relay.server.heard_at > relay.at)
+        if spoke and fair and relay.server.way() < FAR:
+            umpire.widen(outcome is not Outcome.LATE and took <= self.product.target)
             share = took / self.product.abandon if outcome is Outcome.HANDLED else 1.0
-            umpire.panel.learn(relay.server, relay.build, self.product.index, bisect_left(EDGES, share), True)
+            if relay.old_enough:
+                umpire.panel.learn(relay.server, relay.build, self.product.index, bisect_left(EDGES, share))
         if outcome is Outcome.HANDLED and self.key and umpire.on_trial(relay.build):
             umpire.keys[self.key] = relay.build
         self.closed |= final
@@ -298,7 +296,7 @@
         self.calm, self.lately, self.tallies = dict[int, Sample](), dict[int, Sample](), dict[int, Samples]()
         self.words, self.tell_at, self.fade_at, self.new = list[tuple[Server, int, int, int]](), 0., 0., False
 
-    def learn(self, server: Server, build: int, product: int, place: int, own: bool) -> None:
+    def learn(self, server: Server, build: int, product: int, place: int, own: bool = True) -> None:
         trial = self.umpire.trial
         sides = trial.sides(build) + ((server.seen,) if build == server.build else ()) if trial else ()
         for side in (*sides, self.lately):
@@ -379,20 +377,22 @@
         complete = len(fresh) >= max(1, ceil(share * places - 1e-6)) or now - self.began >= MOST_START
         return self.phase is Phase.TRIAL and complete and now - max(fresh, default=inf) >= PATIENT
 
-    def reach(self, verdict: Verdict) -> None:
-        """Guards against hundreds of votes at once: release control takes a fixed number a second."""
+    def reach(self, verdict: Verdict, heard: bool) -> None:
+        """Guards against hundreds of votes at once, or on a stage that another's vote has moved already."""
         if verdict is Verdict.HOLD:
             self.hold_until = self.umpire.host.clock + 2 * TELL_EVERY
         elif verdict is not self.verdict:
-            late = 0.0 if self.umpire.panel.pools else self.umpire.vote_spread * self.umpire.chance()
-            self.verdict, self.ask_at, self.umpire.panel.tell_at = verdict, self.umpire.host.clock + late, 0.0
+            umpire, self.verdict, self.umpire.panel.tell_at = self.umpire, verdict, 0.0
+            first = umpire.charter.me in umpire.panel.judges and not heard
+            late = STAND_BY * (umpire.charter.control is Control.ANY) + umpire.vote_spread * umpire.chance()
+            self.ask_at = umpire.host.clock + (0.0 if first else late)
 
     def consider(self) -> None:
         umpire, now = self.umpire, self.umpire.host.clock
         if self.verdict is Verdict.NONE and umpire.panel.new:
             self.found, umpire.panel.new = self.look(self.settled()), False
             if umpire.panel.goes_on or self.found is not Verdict.ON:
-                self.reach(self.found)
+                self.reach(self.found, False)
         if self.verdict and now >= self.ask_at:
             umpire.host.vote(self.build, self.stage, self.verdict)
             self.cast_at, self.ask_at = now, now + umpire.charter.vote_wait + VOTE_PAUSE
@@ -405,8 +405,8 @@
         self.waiting, self.open, self.keys = list[Transaction](), list[Relay](), dict[int, int]()
         self.usual, self.ways = [Pace(PRIOR * p.target) for p in charter.products], dict[int, Pace]()
         self.allowances = [(Times(maxlen=KEPT), Times()) for _ in charter.products]  # taken, sent on trial
-        self.answers, self.taken, self.panel = Times(maxlen=KEPT), Times(maxlen=KEPT), Panel(self)
-        self.vote_spread = max(0.1, charter.umpires / max(1.0, charter.votes_per_s) - BURST)
+        self.window, self.taken, self.panel = WINDOW, Times(maxlen=KEPT), Panel(self)
+        self.vote_spread = max(0.0, charter.umpires / max(1.0, charter.votes_per_s) - BURST)
         self.build, self.stage, self.phase, self.cap = -1, 0, Phase.RELEASED, 0.0
         self.trial: Trial | None = None
         self.beat_at, self.back_at, self.connects = inf, 0.0, Pace(0.0)
@@ -476,7 +476,7 @@
         trial = self.trial
         if trial and (trial.build, trial.stage, neighbour in self.panel.judges) == (build, stage, True) and (
                 verdict is not Verdict.ON or trial.verdict is Verdict.NONE):
-            trial.reach(verdict)
+            trial.reach(verdict, True)
 
     def take(self, number: int, product: int, tenant: int, effort: float | None, until: float, key: int,
              again: bool) -> Transaction:
@@ -526,12 +526,13 @@
         one, other = (servers[bisect_left(edges, self.chance() * edges[-1])] for _ in "12")
         return other if other.warm_at <= self.host.clock and other.cost() < one.cost() else one
 
+    def widen(self, timely: bool) -> None:
+        """Guards against overload of any cause: a congestion window, narrower by each late answer."""
+        if not timely or 2 * len(self.open) + 2 > self.window:
+            self.window = max(1.0, self.window + (1 / self.window if timely else -1))
+
     def has_room(self) -> bool:
-        """Guards against overload of any cause: open relays are held to the rate of answers; harms: a rise"""
-        few = FEW_OPEN * (1 + len(self.ready) / max(1, self.charter.umpires))
-        shortest = min(p.target for p in self.charter.products)
-        timely = self.answers.since(self.host.clock - RATE_OVER) / RATE_OVER * QUEUE * shortest
-        return sum(relay.server.awake() for relay in self.open) < max(few, timely)
+        return sum(relay.server.awake() for relay in self.open) < self.window
 
     def serve_waiting(self) -> None:
         waiting, self.waiting = self.waiting, []
