--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -24,7 +24,7 @@
 LEAST, LEAN = 6, 1.0  # new-build outcomes that vote on, unless the log of the evidence against it is above
 SLOWER, FAULTS = 1.35, 0.004  # times that a good build's relays may take; share that fails on any build
 GUESSES = (0.04, 0.12, 0.35, 0.75)  # excess shares that a build is tried for: rare faults to a failed product
-CLEAR, HELD = 1.5, 4.5  # s of a held trial until what was sent before has ended; in all
+CLEAR, HELD, DOSE = 1.5, 4.5, 0.25  # s of a hold until it shows; in all; cap from which one hold is proof
 FADE = (3.0, 0.5, 0.8)  # s between fadings; what of the latest sample, and of a server's own, each leaves
 JUDGES, TELL_EVERY = 3, 1.0  # umpires that pool what all saw, as one or two may be cut off; s between words
 YOUNG, PATIENT, MOST_START = 3.0, 3.7, 11.7  # s from a start to evidence; to an on; if servers are missing
@@ -162,8 +162,7 @@
         return self.state is Listed.READY and self.rest_until <= self.umpire.host.clock
 
     def stalled(self) -> bool:
-        """Guards against a server that takes relays and falls silent (cut off, stopped, dead behind live
-        connections) before the first of them runs out of time. Harms: one heavy relay on a quiet server."""
+        """Guards against a server that holds relays and falls silent; harms: a heavy relay on a quiet one."""
         now, patience = self.umpire.host.clock, STALL * self.out[0].transaction.usual.mean() * self.way()
         return self.rest_until <= now and now - max(self.out[0].at, self.heard_at) > max(REST, patience)
 
@@ -282,8 +281,6 @@
 
 
 class Panel:
-    """What is known of builds: own outcomes, the platform's counts and, at a few judges, those of all."""
-
     def __init__(self, umpire: Umpire) -> None:
         self.umpire, charter = umpire, umpire.charter
         self.judges = sorted(range(charter.umpires), key=lambda number: crc32(b"%d" % number))[:JUDGES]
@@ -328,9 +325,11 @@
 
     def __init__(self, umpire: Umpire, build: int, stage: int, phase: Phase, began: float) -> None:
         self.umpire, self.build, self.stage, self.phase, self.began = umpire, build, stage, phase, began
-        self.before, self.fresh, old = dict[int, Sample](), dict[int, Sample](), umpire.trial
-        self.cast_at = self.ask_at = self.held_at = self.hold_until = 0.0
-        self.all_before: Samples = old.all_before if old and old.build == build else {}  # faults are rare
+        self.before, self.fresh = dict[int, Sample](), dict[int, Sample]()
+        self.cast_at = self.ask_at = self.held_at = self.hold_until = self.sure_at = 0.0
+        self.all_before, self.helped = dict[int, Sample](), 0
+        if umpire.trial and umpire.trial.build == build:  # faults are rare, and holds few
+            self.all_before, self.helped = umpire.trial.all_before, umpire.trial.helped
 
     def sides(self, build: int) -> tuple[Samples, ...]:
         return (self.before, self.all_before) if build < self.build else (self.fresh,) * (build == self.build)
@@ -354,19 +353,20 @@
                 common > log(2 / LEVEL) and faults > LEAN):
             umpire.host.note(f"back: gap {wide:.2f} ± {around:.2f}, faults {faults:.1f}, counts {common:.1f}")
             return Verdict.BACK
-        # Guards against a build that slows all servers: all hold it for a while. Harms: one that ends then.
+        # Guards against a build that slows all servers: all hold it for a while, and again.
         everywhere = doubts(panel.calm, panel.lately, range(FAILED))
         if self.held_at and now < self.held_at + HELD:
             panel.lately = panel.lately if now > self.held_at + CLEAR else {}
             return Verdict.HOLD
-        if self.held_at:
-            self.held_at, panel.calm = 0.0, merged([panel.lately])
-            return Verdict.BACK if everywhere < 0 else Verdict.NONE
-        if everywhere > surely and self.phase is Phase.TRIAL:
-            self.held_at = now
+        if self.held_at:  # what helps once may be a trouble that ended just then
+            helps, self.held_at = everywhere < 0, 0.0
+            self.helped, self.sure_at = self.helped + helps, now + HELD * helps
+            panel.calm, panel.lately = panel.calm if helps else merged([panel.lately]), {}
+            return Verdict.BACK if helps and self.helped > (umpire.cap < DOSE) else Verdict.NONE
+        self.held_at = now if everywhere > surely and self.phase is Phase.TRIAL else 0.0
         sound = spread < LEAN and faults < surely / 2 and common < LEAN and everywhere < surely / 2
         enough = wide + around < TOLERANCE or max(n, sum(x.n for x in counted.values())) >= LEAST
-        return Verdict.ON if settled and sound and enough else Verdict.NONE
+        return Verdict.ON if settled and sound and enough and now >= self.sure_at else Verdict.NONE
 
     def settled(self) -> bool:
         """Guards against an on too early: a stage's servers start, and are listed, one by one and late."""
@@ -519,8 +519,7 @@
         return self.pick(side) if side else None
 
     def pick(self, servers: Sequence[Server]) -> Server:
-        """Two random choices, of a few servers, even over umpires: guards against connections slow to open or
-        closed for want of use. A cold one is never the better: guards against a rush to empty queues."""
+        """Two random choices of few servers, whose connections stay open; a cold one is never the better."""
         kept = max(FEWEST, self.taken.since(self.host.clock - self.charter.idle_for / 2)) / len(self.ready)
         edges = list(accumulate(s.weight() for s in servers[:ceil(kept * len(servers)) + 1]))
         one, other = (servers[bisect_left(edges, self.chance() * edges[-1])] for _ in "12")
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -221,13 +221,15 @@
 def test_slowness_everywhere_is_the_builds_only_if_a_held_trial_ends_it(build_is_slow: bool) -> None:
     # Crashes, bursts and a shifted load had sent good builds back: a large sample tells any slowness.
     desk = on_trial((1, 1, 2, 2))
+    desk.news(2, 0, Phase.TRIAL, 0.2)  # a small dose
     trial = desk.umpire.trial
     assert trial
     desk.umpire.panel.calm[0] = Sample()
     for _ in range(400):
         desk.umpire.panel.calm[0].add(2)
-    for at in range(300):
-        fast = build_is_slow and trial.held_at and desk.clock > trial.held_at + 0.5
+    for at in range(600):
+        ended = at > 150 and not build_is_slow  # a trouble that ends, once, while the trial is held
+        fast = ended or (build_is_slow and trial.held_at and desk.clock > trial.held_at + 0.5)
         desk.umpire.panel.learn(desk.servers[0], 1, 0, 2 if fast else 7, False)
         desk.umpire.panel.learn(desk.servers[2], 2, 0, 2 if fast else 7, False)
         if at == 50:
