An umpire's window may hold a part of a relay: one a server from all of them

The least window is now servers per umpire, one at most; a part of a relay goes by each transaction's draw; narrow windows grow by halves. Told from slow servers: all were late alike, and no report or way differed.

--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -33,7 +33,7 @@
 ASK_AGAIN = (0.8, 4.0)  # s; first and longest pause after a failed roster call; calls must not pile up
 REST, MOST_SILENT = 0.5, 4  # s of a silent server's first rest, a stall's length; lost relays that double it
 PACE_KEPT, KEPT, OLD_LOAD = 16, 4000, 2.0  # outcomes to a halving; times kept; s until a report is stale
-FEWEST, WINDOW, STALL = 4, 4.0, 4.0  # servers kept in use; relays open at first; usual times of silence
+FEWEST, WINDOW, WIDER, STALL = 4, 4.0, 0.5, 4.0  # servers in use; relays open; growth; usual silence
 SPARE, WAIT = 2.0, 0.25  # usual times that one waiting must have left; share of its target it may always wait
 COLD_PART = 0.5  # of what fells a cold server, sent if the fleet is asked for all it can do; bursts on top
 PRIOR, CROSSING, FAR = 0.2, 0.5, 3.0  # of a target, usual at first; rarer crossings; paces that blame the way
@@ -232,7 +232,7 @@
         if (hopeless or now >= self.until - BEAT - SLIP or len(self.relays) >= umpire.charter.most_relays
                 or not any(self.may_go(s) for s in umpire.servers)):
             return self.close()
-        server = umpire.choose(self) if umpire.has_room() else None
+        server = umpire.choose(self) if umpire.has_room(self.luck) else None
         umpire.rouse(LOOK if server else BEAT)
         if server is None:
             return umpire.waiting.append(self)
@@ -472,11 +472,9 @@
             self.panel.learn(server, build, product, place, False)
 
     def neighbour_found(self, neighbour: int, build: int, stage: int, verdict: Verdict) -> None:
-        """Guards against umpires that see too little: where votes add up, all stand for a judge's finding."""
-        trial = self.trial
-        if trial and (trial.build, trial.stage, neighbour in self.panel.judges) == (build, stage, True) and (
-                verdict is not Verdict.ON or trial.verdict is Verdict.NONE):
-            trial.reach(verdict, True)
+        known = neighbour in self.panel.judges and (build, stage) == (self.build, self.stage)
+        if self.trial and known and (verdict is not Verdict.ON or self.trial.verdict is Verdict.NONE):
+            self.trial.reach(verdict, True)  # guards against umpires that see too little to judge
 
     def take(self, number: int, product: int, tenant: int, effort: float | None, until: float, key: int,
              again: bool) -> Transaction:
@@ -526,12 +524,14 @@
         return other if other.warm_at <= self.host.clock and other.cost() < one.cost() else one
 
     def widen(self, timely: bool) -> None:
-        """Guards against overload of any cause: a congestion window, narrower by each late answer."""
+        """Guards against overload: a congestion window, narrower by late answers, to one relay a server."""
+        least = min(1.0, len(self.ready) / max(1, self.charter.umpires))
         if not timely or 2 * len(self.open) + 2 > self.window:
-            self.window = max(1.0, self.window + (1 / self.window if timely else -1))
+            step = max(WIDER, least) / max(1.0, self.window) if timely else -1.0
+            self.window = max(least, self.window + step)
 
-    def has_room(self) -> bool:
-        return sum(relay.server.awake() for relay in self.open) < self.window
+    def has_room(self, luck: float = 0.0) -> bool:
+        return max(luck, sum(relay.server.awake() for relay in self.open)) < self.window
 
     def serve_waiting(self) -> None:
         waiting, self.waiting = self.waiting, []
