--- a/stepsail/adapter/host.py
+++ b/stepsail/adapter/host.py
@@ -34,7 +34,7 @@
         self.servers: dict[bytes, ServerHandle] = {}
         self.timers: dict[int, Callable[[], None]] = {}
         self.timers_set = 0
-        self.me = 0
+        self.me, self.neighbours = 0, range(0)
         self.heard_at: dict[tuple[int, bytes], float] = {}
 
     def relay(self, transaction: TransactionHandle, server: ServerHandle, until: float) -> None:
@@ -82,7 +82,7 @@
     def heard(self, neighbour: int, text: bytes) -> None:
         """Hands on what a neighbour said; what is heard twice, late or malformed is passed over."""
         kind, layout = text[:1], {b"S": frames.SEEN_HEAD, b"F": frames.FOUND}.get(text[:1])
-        if layout is None or len(text) < layout.size or neighbour == self.me:
+        if not layout or len(text) < layout.size or neighbour == self.me or neighbour not in self.neighbours:
             return
         _, at, *said = layout.unpack_from(text)
         if not at > self.heard_at.get((neighbour, kind), float("-inf")):
@@ -157,7 +157,7 @@
 
         def start() -> None:
             charter = frames.read_charter(text)
-            found.me = charter.me
+            found.me, found.neighbours = charter.me, range(charter.umpires)
             found.umpire = self.make(charter, found, seed)
         self.guarded(who, start)
 
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -9,6 +9,9 @@
 import pytest
 from helpers import Desk
 
+from stepsail.adapter import frames
+from stepsail.adapter.frames import Reply
+from stepsail.adapter.host import Instance
 from stepsail.balance import EDGES, FAILED, JUDGES, Sample, doubts, gap, radius
 from stepsail.interface import Control, Outcome, Phase, Receipt, Repeat, Verdict
 
@@ -183,6 +186,20 @@
     assert set(desk.votes) == {(2, 0, Verdict.BACK)}
 
 
+def test_words_malformed_repeated_or_from_nobody_end_at_the_host() -> None:
+    desk = Desk(builds=(1, 2), neighbours=True)
+    instance = Instance(7, 5.0, Reply())
+    instance.me, instance.neighbours, instance.umpire = 1, range(4), desk.umpire
+    instance.servers = {b"server": desk.servers[0]}
+    seen = frames.SEEN_HEAD.pack(b"S", 5.0) + frames.SEEN.pack(b"server", 1, 0, 3)
+    odd = (b"", b"S", b"X" + seen[1:], seen[:-1], frames.SEEN_HEAD.pack(b"S", float("nan")) + seen[9:],
+           frames.FOUND.pack(b"F", 9.0, 2, 0, 77), frames.SEEN_HEAD.pack(b"S", 4.0) + seen[9:])
+    for neighbour, text in [(1, seen), (9, seen), *((2, x) for x in odd), (3, seen), (3, seen)]:
+        instance.heard(neighbour, text)
+    # one is well: the cut one held no outcome, the late and the repeated are passed over
+    assert sum(x.n for x in desk.umpire.panel.lately.values()) == 1
+
+
 def test_a_wrong_answer_to_a_product_not_seen_yet_is_survived() -> None:
     # A contested answer left an empty sample behind, by which the next look divided.
     desk = on_trial((1, 1, 2, 2))
