--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -525,9 +525,9 @@
 
     def widen(self, timely: bool) -> None:
         """Guards against overload: a congestion window, narrower by late answers, to one relay a server."""
-        least = min(1.0, len(self.ready) / max(1, self.charter.umpires))
+        least = len(self.ready) / max(1, self.charter.umpires)
         if not timely or 2 * len(self.open) + 2 > self.window:
-            step = max(WIDER, least) / max(1.0, self.window) if timely else -1.0
+            step = max(WIDER, min(1.0, least)) / max(1.0, self.window) if timely else -1.0
             self.window = max(least, self.window + step)
 
     def has_room(self, luck: float = 0.0) -> bool:
