--- /dev/null
+++ b/stepsail/loop/driver.py
@@ -0,0 +1,66 @@
+"""What a loop asks of the world below it. Nothing above the loop may notice which driver it runs on."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from stepsail.loop.hub import Waiter
+
+READ, WRITE = 1, 2
+Address = tuple[str, int]
+
+
+class Port(Protocol):
+    """One non-blocking end. Calls return None where they would have to wait; errors are OSError."""
+
+    closed: bool
+
+    def accept(self) -> tuple[Port, Address] | None: ...
+
+    def recv(self, most: int) -> bytes | None: ...
+
+    def send(self, data: bytes | memoryview) -> int | None: ...
+
+    def recvfrom(self, most: int) -> tuple[bytes, Address] | None: ...
+
+    def sendto(self, data: bytes, to: Address) -> int | None: ...
+
+    def connected(self) -> None:
+        """Raise what became of a connect, once the port is writable."""
+
+    def half_close(self) -> None: ...
+
+    def abort(self) -> None:
+        """Close so that the other end sees a reset."""
+
+    def name(self) -> Address: ...
+
+
+class Driver(Protocol):
+    """Clock in seconds, readiness, and the making of ports."""
+
+    def now(self) -> float: ...
+
+    def poll(self, timeout: float | None) -> None:
+        """Wait until a port is ready or the time is over, and wake the waiters of ready ports."""
+
+    def want(self, port: Port, direction: int, waiter: Waiter) -> None:
+        """One waiter per port and direction; a second one is an error of the caller."""
+
+    def unwant(self, port: Port, direction: int, waiter: Waiter) -> None: ...
+
+    def close(self, port: Port) -> None:
+        """Close a port and wake whoever waits on it; its number may be used again at once."""
+
+    def listen(self, address: Address, backlog: int) -> Port: ...
+
+    def connect(self, address: Address, source: Address | None = None) -> Port:
+        """Begin to connect; the port turns writable when it is decided."""
+
+    def datagrams(self, address: Address) -> Port: ...
+
+    def on_signal(self, number: int, call: Callable[[], object]) -> None: ...
+
+    def shutdown(self) -> None: ...
--- /dev/null
+++ b/stepsail/loop/poll.py
@@ -0,0 +1,251 @@
+"""The driver of real sockets: `select.poll`, the monotonic clock, signals by a wake-up descriptor."""
+
+from __future__ import annotations
+
+import contextlib
+import errno
+import os
+import select
+import signal
+import socket
+import struct
+import time
+from collections.abc import Callable
+from typing import TYPE_CHECKING, cast
+
+from stepsail.loop.driver import READ, WRITE, Address, Port
+from stepsail.loop.errors import Closed
+
+if TYPE_CHECKING:
+    from stepsail.loop.hub import Waiter
+
+READY = {READ: select.POLLIN | select.POLLPRI, WRITE: select.POLLOUT}
+ENDED = select.POLLHUP | select.POLLERR | select.POLLNVAL  # wakes readers, who first get the unread data
+WOULD_WAIT = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR)
+NO_DESCRIPTORS = (errno.EMFILE, errno.ENFILE)
+RESET = struct.pack("ii", 1, 0)  # linger of 0 s: close sends a reset
+
+
+class SocketPort:
+    """A non-blocking socket with at most one waiter for each direction."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        self.sock, self.fd, self.closed, self.mask = sock, sock.fileno(), False, 0
+        self.waiters: dict[int, Waiter] = {}
+
+    def accept(self) -> tuple[Port, Address] | None:
+        try:
+            sock, peer = self.sock.accept()
+        except OSError as trouble:
+            if trouble.errno in (*WOULD_WAIT, errno.ECONNABORTED, errno.EPROTO):
+                return None
+            raise
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return SocketPort(sock), (peer[0], peer[1])
+
+    def recv(self, most: int) -> bytes | None:
+        try:
+            return self.sock.recv(most)
+        except (BlockingIOError, InterruptedError):
+            return None
+
+    def send(self, data: bytes | memoryview) -> int | None:
+        try:
+            return self.sock.send(data)
+        except (BlockingIOError, InterruptedError):
+            return None
+
+    def recvfrom(self, most: int) -> tuple[bytes, Address] | None:
+        try:
+            data, peer = self.sock.recvfrom(most)
+        except (BlockingIOError, InterruptedError):
+            return None
+        except ConnectionError:  # an earlier datagram of ours found nobody; datagrams may be lost
+            return None
+        return data, (peer[0], peer[1])
+
+    def sendto(self, data: bytes, to: Address) -> int | None:
+        try:
+            return self.sock.sendto(data, to)
+        except (BlockingIOError, InterruptedError, ConnectionError):
+            return None
+
+    def connected(self) -> None:
+        code = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            raise OSError(code, os.strerror(code))
+
+    def half_close(self) -> None:
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(socket.SHUT_WR)
+
+    def abort(self) -> None:
+        with contextlib.suppress(OSError):
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+
+    def name(self) -> Address:
+        found = self.sock.getsockname()
+        return found[0], found[1]
+
+
+class PollDriver:
+    """Bounds: one registration per open socket; at most one waiter per socket and direction."""
+
+    def __init__(self) -> None:
+        self.poller, self.ports = select.poll(), dict[int, SocketPort]()
+        self.calls: dict[int, Callable[[], object]] = {}
+        self.spare = self._spare()
+        self.shed = 0  # connections turned away for want of descriptors
+        self.wake_in, self.wake_out = socket.socketpair()
+        self.wake_in.setblocking(False)
+        self.wake_out.setblocking(False)
+        self.poller.register(self.wake_out.fileno(), select.POLLIN)
+        self.old_wake: int | None = None
+
+    @staticmethod
+    def _spare() -> int | None:
+        with contextlib.suppress(OSError):
+            return os.open(os.devnull, os.O_RDONLY)
+        return None
+
+    def now(self) -> float:
+        return time.monotonic()
+
+    def poll(self, timeout: float | None) -> None:
+        # Rounded up: a wait that ends a fraction early would spin until the timer is due.
+        for fd, ready in self.poller.poll(None if timeout is None else -(-timeout * 1000 // 1)):
+            if fd == self.wake_out.fileno():
+                self._signalled()
+                continue
+            port = self.ports.get(fd)
+            if port is None:
+                continue
+            if ready & select.POLLNVAL:
+                self.close(cast(Port, port))
+                continue
+            for direction in tuple(port.waiters):
+                if ready & (READY[direction] | ENDED):
+                    port.waiters.pop(direction).wake(direction)
+            self._mask(port)
+
+    def _signalled(self) -> None:
+        with contextlib.suppress(BlockingIOError):
+            while numbers := self.wake_out.recv(64):
+                for number in numbers:
+                    if number in self.calls:
+                        self.calls[number]()
+
+    def _mask(self, port: SocketPort) -> None:
+        mask = sum(READY[d] for d in port.waiters)
+        if mask == port.mask:
+            return
+        # Nobody waits: taken out, or a hung-up peer would end every poll at once.
+        if not mask:
+            self.poller.unregister(port.fd)
+            self.ports.pop(port.fd, None)
+        else:
+            self.poller.register(port.fd, mask)
+            self.ports[port.fd] = port
+        port.mask = mask
+
+    def want(self, port: Port, direction: int, waiter: Waiter) -> None:
+        assert isinstance(port, SocketPort)
+        if port.closed:
+            raise Closed("the descriptor is closed")
+        if direction in port.waiters:
+            raise RuntimeError("two tasks wait on one descriptor for the same thing")
+        port.waiters[direction] = waiter
+        self._mask(port)
+
+    def unwant(self, port: Port, direction: int, waiter: Waiter) -> None:
+        assert isinstance(port, SocketPort)
+        if not port.closed and port.waiters.get(direction) is waiter:
+            del port.waiters[direction]
+            self._mask(port)
+
+    def close(self, port: Port) -> None:
+        assert isinstance(port, SocketPort)
+        if port.closed:
+            return
+        port.closed = True
+        if port.mask:  # before the number can be used again by whatever opens next
+            self.poller.unregister(port.fd)
+            self.ports.pop(port.fd, None)
+        port.sock.close()
+        for waiter in port.waiters.values():
+            waiter.throw(Closed("the descriptor was closed while waited on"))
+        port.waiters.clear()
+
+    def listen(self, address: Address, backlog: int) -> Port:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.bind(address)
+            sock.listen(backlog)
+        except OSError:
+            sock.close()
+            raise
+        return SocketPort(sock)
+
+    def shed_one(self, port: Port) -> bool:
+        """Out of descriptors: give up the spare one to take a waiting connection and reset it."""
+        assert isinstance(port, SocketPort)
+        if self.spare is not None:
+            os.close(self.spare)
+            self.spare = None
+        try:
+            taken = port.accept()
+            if taken:
+                taken[0].abort()
+                self.close(taken[0])
+                self.shed += 1
+            return taken is not None
+        except OSError:
+            return False
+        finally:
+            self.spare = self._spare()
+
+    def connect(self, address: Address, source: Address | None = None) -> Port:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        port = SocketPort(sock)
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            if source:
+                sock.bind(source)
+            code = sock.connect_ex(address)
+        except OSError:
+            sock.close()
+            raise
+        if code not in (0, errno.EINPROGRESS):
+            sock.close()
+            raise OSError(code, os.strerror(code))
+        return port
+
+    def datagrams(self, address: Address) -> Port:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            sock.bind(address)
+        except OSError:
+            sock.close()
+            raise
+        return SocketPort(sock)
+
+    def on_signal(self, number: int, call: Callable[[], object]) -> None:
+        if self.old_wake is None:
+            self.old_wake = signal.set_wakeup_fd(self.wake_in.fileno(), warn_on_full_buffer=False)
+        self.calls[number] = call
+        signal.signal(number, lambda *_: None)  # the byte on the wake-up descriptor does the work
+
+    def shutdown(self) -> None:
+        if self.old_wake is not None:
+            signal.set_wakeup_fd(self.old_wake)
+            for number in self.calls:
+                signal.signal(number, signal.SIG_DFL)
+        for port in list(self.ports.values()):
+            self.close(cast(Port, port))
+        self.wake_in.close()
+        self.wake_out.close()
+        if self.spare is not None:
+            os.close(self.spare)
+            self.spare = None
--- /dev/null
+++ b/stepsail/loop/stream.py
@@ -0,0 +1,159 @@
+"""Byte streams, listeners and datagrams on a loop; every call takes its own bound in seconds."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from stepsail.loop.driver import READ, WRITE, Address, Port
+from stepsail.loop.errors import Closed
+from stepsail.loop.hub import Loop, Waiter
+
+CHUNK = 65536
+SHED_PAUSE = 0.05  # s after a connection was turned away for want of descriptors; without it accept spins
+BACKLOG = 1024
+
+
+class Stream:
+    """A connected byte stream. `sent` counts the bytes that the system took."""
+
+    def __init__(self, loop: Loop, port: Port, peer: Address) -> None:
+        self.loop, self.port, self.peer, self.sent = loop, port, peer, 0
+
+    @classmethod
+    def connect(cls, loop: Loop, to: Address, within: float, source: Address | None = None) -> Stream:
+        """Raises OSError or TimedOut; then nothing was sent."""
+        port = loop.driver.connect(to, source)
+        try:
+            loop.ready(port, WRITE, f"a connection to {to[0]}:{to[1]}", within)
+            port.connected()
+        except BaseException:
+            loop.driver.close(port)
+            raise
+        return cls(loop, port, to)
+
+    def read(self, within: float | None = None, most: int = CHUNK) -> bytes:
+        """Some bytes, or none at the end of the stream."""
+        if self.port.closed:
+            raise Closed("the stream is closed")
+        while (data := self.port.recv(most)) is None:
+            self.loop.ready(self.port, READ, f"bytes from {self.peer[0]}:{self.peer[1]}", within)
+            if self.port.closed:
+                raise Closed("the stream was closed")
+        self.loop.spend()
+        return data
+
+    def read_now(self, most: int = CHUNK) -> bytes | None:
+        """What has come in already; None if nothing has, empty at the end of the stream."""
+        return self.port.recv(most)
+
+    def write(self, data: bytes, within: float | None = None) -> None:
+        """All of it, or an error; `sent` then tells how much left this process."""
+        rest = memoryview(data)
+        while rest:
+            if self.port.closed:
+                raise Closed("the stream is closed")
+            count = self.port.send(rest)
+            if count is None:
+                self.loop.ready(self.port, WRITE, f"room towards {self.peer[0]}:{self.peer[1]}", within)
+                continue
+            self.sent += count
+            rest = rest[count:]
+
+    def arm(self, waiter: Waiter) -> None:
+        """Wake this waiter with READ when bytes or the end arrive; for a task that waits on two things."""
+        self.loop.driver.want(self.port, READ, waiter)
+
+    def disarm(self, waiter: Waiter) -> None:
+        self.loop.driver.unwant(self.port, READ, waiter)
+
+    def half_close(self) -> None:
+        self.port.half_close()
+
+    def abort(self) -> None:
+        """Close with a reset."""
+        if not self.port.closed:
+            self.port.abort()
+        self.close()
+
+    def close(self) -> None:
+        self.loop.driver.close(self.port)
+
+
+class Listener:
+    """Accepts streams and gives each to a task. Bound: `most` open at once; more wait in the backlog."""
+
+    def __init__(self, loop: Loop, address: Address, most: int, backlog: int = BACKLOG) -> None:
+        self.loop, self.port, self.most = loop, loop.driver.listen(address, backlog), most
+        self.address, self.open = self.port.name(), set[Stream]()
+        self.room: Waiter | None = None
+
+    def serve(self, handle: Callable[[Stream], Any], name: str) -> None:
+        """Accept until closed."""
+        while not self.port.closed:
+            if len(self.open) >= self.most:
+                self.room = self.loop.waiter()
+                self.loop.park(self.room, f"one of {self.most} connections to end")
+                continue
+            try:
+                taken = self.port.accept()
+            except OSError as trouble:
+                self._shed(trouble)
+                continue
+            if taken is None:
+                try:
+                    self.loop.ready(self.port, READ, "a connection")
+                except Closed:
+                    return
+                continue
+            stream = Stream(self.loop, *taken)
+            self.open.add(stream)
+            self.loop.spawn(self._one, handle, stream, name=f"{name} {stream.peer[0]}:{stream.peer[1]}")
+            self.loop.spend()
+
+    def _shed(self, trouble: OSError) -> None:
+        shed = getattr(self.loop.driver, "shed_one", None)
+        if self.port.closed:
+            return
+        self.loop.report("connection_shed", error=str(trouble), done=bool(shed and shed(self.port)))
+        self.loop.sleep(SHED_PAUSE)
+
+    def _one(self, handle: Callable[[Stream], Any], stream: Stream) -> None:
+        try:
+            handle(stream)
+        except (OSError, Closed):
+            pass  # the other end's doing; whoever must know has been told by the handler
+        finally:
+            stream.close()
+            self.open.discard(stream)
+            if self.room:
+                self.room.wake()
+
+    def close(self) -> None:
+        self.loop.driver.close(self.port)
+
+    def drop(self) -> None:
+        """Stop at once: listener gone, every stream reset."""
+        self.close()
+        for stream in tuple(self.open):
+            stream.abort()
+
+
+class Datagrams:
+    """Datagrams, lost at will: a send that would wait is dropped."""
+
+    def __init__(self, loop: Loop, address: Address) -> None:
+        self.loop, self.port = loop, loop.driver.datagrams(address)
+        self.address = self.port.name()
+
+    def send(self, data: bytes, to: Address) -> bool:
+        return not self.port.closed and self.port.sendto(data, to) is not None
+
+    def receive(self, within: float | None = None, most: int = CHUNK) -> tuple[bytes, Address]:
+        while (found := self.port.recvfrom(most)) is None:
+            self.loop.ready(self.port, READ, "a datagram", within)
+        self.loop.spend()
+        return found
+
+    def close(self) -> None:
+        self.loop.driver.close(self.port)
--- /dev/null
+++ b/stepsail/loop/timers.py
@@ -0,0 +1,67 @@
+"""Timers in a heap; a cancelled one costs nothing until it surfaces or the heap is mostly dead."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from heapq import heapify, heappop, heappush
+from itertools import count
+
+DEAD_LEAST = 64  # cancelled timers below which the heap is not swept, as sweeping costs more than they do
+
+
+class Timer:
+    """One call to be made at `when`, a time in seconds on the driver's clock."""
+
+    __slots__ = ("call", "order", "timers", "when")
+
+    def __init__(self, timers: Timers, when: float, order: int, call: Callable[[], object]) -> None:
+        self.timers, self.when, self.order = timers, when, order
+        self.call: Callable[[], object] | None = call
+
+    def __lt__(self, other: Timer) -> bool:
+        return (self.when, self.order) < (other.when, other.order)
+
+    def cancel(self) -> None:
+        if self.call is not None:
+            self.call = None
+            self.timers.dead += 1
+            self.timers.sweep()
+
+
+class Timers:
+    """Bound: one entry per live timer, and at most as many dead ones again (at least DEAD_LEAST)."""
+
+    def __init__(self) -> None:
+        self.heap: list[Timer] = []
+        self.dead, self.orders = 0, count()
+
+    def add(self, when: float, call: Callable[[], object]) -> Timer:
+        timer = Timer(self, when, next(self.orders), call)
+        heappush(self.heap, timer)
+        return timer
+
+    def sweep(self) -> None:
+        if self.dead > DEAD_LEAST and self.dead * 2 > len(self.heap):
+            self.heap = [t for t in self.heap if t.call is not None]
+            heapify(self.heap)
+            self.dead = 0
+
+    def next_at(self) -> float | None:
+        """When the earliest live timer is due, or None."""
+        while self.heap and self.heap[0].call is None:
+            heappop(self.heap)
+            self.dead -= 1
+        return self.heap[0].when if self.heap else None
+
+    def due(self, now: float) -> list[Callable[[], object]]:
+        """Take out the calls that are due, earliest first; one set for the past is due at once."""
+        calls: list[Callable[[], object]] = []
+        while (when := self.next_at()) is not None and when <= now:
+            timer = heappop(self.heap)
+            assert timer.call is not None
+            calls.append(timer.call)
+            timer.call = None
+        return calls
+
+    def __len__(self) -> int:
+        return len(self.heap) - self.dead
