--- /dev/null
+++ b/stepsail/__main__.py
@@ -0,0 +1,6 @@
+"""`python -m stepsail`."""
+
+from stepsail.cli.main import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/stepsail/cli/main.py
@@ -0,0 +1,183 @@
+"""Sub-commands and exit codes.
+
+0: done, and well. 1: what was asked for was done and the finding is bad (a rule broken, faults in a file).
+2: the command was used wrongly, or a file cannot be read. 3: an umpire left with transactions unanswered.
+4: the program itself failed, or an address cannot be had.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any
+
+import click
+from rich.console import Console
+from rich.live import Live
+from rich.table import Table
+
+from stepsail.balance import Umpire
+from stepsail.charter import Faults, read_orders
+from stepsail.charter import reference as reference_page
+from stepsail.cli import logs
+from stepsail.loop import Loop, PollDriver
+from stepsail.standins.day import read_day
+from stepsail.standins.rehearsal import Rehearsal
+from stepsail.umpire.life import Daemon
+from stepsail.verify import read_history, verify
+from stepsail.verify.history import BadTranscript
+from stepsail.verify.report import summary
+
+BAD, MISUSED, FAILED = 1, 2, 4
+FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(package_name=None, version="0.2.0", prog_name="stepsail")
+def main() -> None:
+    """A transaction router and release judge."""
+
+
+def _tell_faults(faults: Faults) -> None:
+    for fault in faults.faults:
+        click.echo(str(fault), err=True)
+
+
+@main.command()
+@click.argument("file", type=FILE)
+def umpire(file: Path) -> None:
+    """Run one umpire by its file of settings, until SIGTERM."""
+    try:
+        orders = read_orders(file)
+    except Faults as faults:
+        _tell_faults(faults)
+        sys.exit(MISUSED)
+    log = logs.begin(orders.log_form, orders.log_level, umpire=orders.charter.me)
+    driver = PollDriver()
+    loop = Loop(driver, lambda event, **fields: log.warning(event, **fields))
+    try:
+        code = loop.run(Daemon(loop, orders, Umpire, log, orders.log_level == "debug").run)
+    except OSError as trouble:
+        log.error("cannot_run", error=str(trouble))
+        sys.exit(FAILED)
+    finally:
+        driver.shutdown()
+    sys.exit(code)
+
+
+@main.command()
+@click.argument("file", type=FILE)
+def check(file: Path) -> None:
+    """Check a file of settings and tell all that is wrong with it."""
+    try:
+        orders = read_orders(file)
+    except Faults as faults:
+        _tell_faults(faults)
+        sys.exit(BAD)
+    charter = orders.charter
+    click.echo(f"{file}: well; umpire {charter.me} of {charter.umpires}, {len(charter.products)} products, "
+               f"{len(charter.shares)} stages")
+
+
+@main.command()
+def reference() -> None:
+    """Print the reference page of the settings."""
+    click.echo(reference_page.page(), nl=False)
+
+
+def _day_file(day: Path) -> Path:
+    found = day / "day.conf" if day.is_dir() else day
+    if not found.is_file():
+        raise click.BadParameter(f"{day} is neither a day's file nor a folder with a day.conf")
+    return found
+
+
+@main.command()
+@click.argument("day", type=click.Path(path_type=Path))
+@click.option("--out", type=click.Path(file_okay=False, path_type=Path), help="Where transcript and logs go.")
+@click.option("--seed", type=int, help="In place of the day's own.")
+@click.option("--json", "as_json", is_flag=True, help="Print the report as JSON.")
+@click.option("--umpire-command", hidden=True, multiple=True, help="Tests run a broken umpire by this.")
+def rehearse(day: Path, out: Path | None, seed: int | None, as_json: bool,
+             umpire_command: tuple[str, ...]) -> None:
+    """Play a day against stand-ins, verify the five rules on what the sockets carried, and report."""
+    try:
+        played = read_day(_day_file(day))
+    except Faults as faults:
+        _tell_faults(faults)
+        sys.exit(MISUSED)
+    if seed is not None:
+        played.seed = seed
+    out = out or Path(tempfile.mkdtemp(prefix=f"stepsail-{played.name}-"))
+    log = logs.begin("console", "warning")
+    console, driver = Console(stderr=True), PollDriver()
+    loop = Loop(driver, lambda event, **fields: log.warning(event, **fields))
+    try:
+        with Live(console=console, refresh_per_second=4, transient=True) as live:
+            def progress(at: float, what: str) -> None:
+                if console.is_terminal:
+                    live.update(f"{played.name} seed {played.seed}: {at:5.1f} of {played.length:g} s, {what}")
+            rehearsal = Rehearsal(loop, played, out, list(umpire_command) or None, progress)
+            loop.run(rehearsal.run)
+    except (Faults, RuntimeError, OSError) as trouble:
+        click.echo(str(trouble), err=True)
+        sys.exit(FAILED)
+    finally:
+        driver.shutdown()
+    sys.exit(_report(out, as_json, [c for c in rehearsal.codes if c != 0]))
+
+
+@main.command(name="verify")
+@click.argument("folder", type=click.Path(exists=True, path_type=Path))
+@click.option("--json", "as_json", is_flag=True, help="Print the report as JSON.")
+def verify_command(folder: Path, as_json: bool) -> None:
+    """Verify the five rules on a transcript, and report."""
+    sys.exit(_report(folder, as_json, []))
+
+
+def _report(folder: Path, as_json: bool, codes: list[int | None]) -> int:
+    file = folder / "transcript.jsonl" if folder.is_dir() else folder
+    try:
+        history = read_history(file)
+    except (OSError, BadTranscript) as trouble:
+        click.echo(str(trouble), err=True)
+        return MISUSED
+    breaches = verify(history)
+    found = summary(history, breaches) | {"umpires_that_left_badly": len(codes)}
+    if file.parent.is_dir() and folder.is_dir():
+        (folder / "report.json").write_text(json.dumps(found, indent=1) + "\n")
+    if as_json:
+        click.echo(json.dumps(found, indent=1))
+    else:
+        _show(found, folder)
+    return BAD if breaches or codes else 0
+
+
+def _show(found: dict[str, Any], folder: Path) -> None:
+    console = Console()
+    console.print(f"day {found['day']}, seed {found['seed']}: service {found['service']:.3f} (simulated boxes)")
+    table = Table("product", "asked", "in time", "service", "median s", "99% s")
+    for name, p in found["products"].items():
+        table.add_row(name, str(p["asked"]), str(p["in_time"]), f"{p['service']:.3f}", f"{p['median']:.3f}",
+                      f"{p['p99']:.3f}")
+    console.print(table)
+    console.print("answers:", ", ".join(f"{n} {k}" for k, n in found["answers"].items()))
+    for release in found["releases"]:
+        after = f" after {release['after']:.1f} s" if "after" in release else ""
+        console.print(f"build {release['build']} ({release['kind']}): {release['end']}{after}"
+                      f"{'' if release['right'] else '  <- not what it deserved'}")
+    console.print("votes:", ", ".join(f"{n} {k}" for k, n in found["votes"].items()) or "none")
+    for umpire_number, e in found["exposure"].items():
+        console.print(f"umpire {umpire_number}: {e['relays']} relays at builds on trial; closest window "
+                      f"{e.get('sent', 0)} of {e.get('allowed', 0)} allowed")
+    if found["cold"]:
+        box, peak = max(found["cold"].items(), key=lambda item: float(item[1]))
+        console.print(f"cold boxes: {len(found['cold'])}; most pushed {box}, {peak:.0%} of what fells it")
+    for breach in found["breaches"]:
+        console.print(breach, markup=False, style="red")
+    if found["umpires_that_left_badly"]:
+        console.print(f"{found['umpires_that_left_badly']} umpires did not leave well", style="red")
+    console.print(f"verdict: {'no rule broken' if not found['breaches'] else 'RULES BROKEN'}; "
+                  f"transcript and logs in {folder}")
--- a/stepsail/http/outlet.py
+++ b/stepsail/http/outlet.py
@@ -44,7 +44,7 @@
         reader.reset(no_body)
         try:
             try:
-                stream.write(data, max(0.0, until - loop.now()))
+                self._send(data, until, progress)
             except (BrokenPipeError, ConnectionResetError):
                 if stream.sent == before:
                     raise
@@ -72,6 +72,19 @@
         self.usable = answer.keep_alive and not reader.buffer and progress.written == progress.whole
         return answer
 
+    def _send(self, data: bytes, until: float, progress: Progress) -> None:
+        """Send until all is sent or the answer is there, whichever is first."""
+        rest = memoryview(data)
+        while rest and not self.reader.whole:
+            sent = self.stream.write_some(rest, max(0.0, until - self.loop.now()))
+            rest = rest[sent:]
+            part = None if sent else self.stream.read_now()
+            if part == b"":
+                return  # closed at its end: what it said before that is read next
+            if part:
+                progress.read += len(part)
+                self.reader.feed(part)
+
     def close(self) -> None:
         self.usable = False
         self.stream.close()
--- a/stepsail/loop/driver.py
+++ b/stepsail/loop/driver.py
@@ -37,6 +37,9 @@
 
     def name(self) -> Address: ...
 
+    def waited(self) -> float:
+        """Seconds since the last bytes arrived here, read or not: what a pause of this process hides."""
+
 
 class Driver(Protocol):
     """Clock in seconds, readiness, and the making of ports."""
--- a/stepsail/loop/hub.py
+++ b/stepsail/loop/hub.py
@@ -53,7 +53,7 @@
         self.greenlet: greenlet | None = greenlet(self._run, parent=loop.home)
         self.result: Any = None
         self.error: BaseException | None = None
-        self.done = self.cancelling = self.cancel_due = False
+        self.done = self.begun = self.cancelling = self.cancel_due = False
         self.waiting: Waiter | None = None
         self.why = "its first turn"
         self.joiners: list[Waiter] = []
@@ -64,6 +64,7 @@
     def _run(self, *_: Any) -> None:
         try:
             if not self.cancel_due:  # cancelled before its first turn: it never begins
+                self.begun = True
                 self.result = self.call(*self.args)
         except Cancelled as end:
             self.error = end
--- a/stepsail/loop/poll.py
+++ b/stepsail/loop/poll.py
@@ -23,6 +23,8 @@
 ENDED = select.POLLHUP | select.POLLERR | select.POLLNVAL  # wakes readers, who first get the unread data
 WOULD_WAIT = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR)
 NO_DESCRIPTORS = (errno.EMFILE, errno.ENFILE)
+TCP_INFO_SIZE, LAST_DATA_AT = 64, 52  # of tcp_info in linux/tcp.h: tcpi_last_data_recv, in ms
+LAST_DATA_RECEIVED = struct.Struct("I")
 RESET = struct.pack("ii", 1, 0)  # linger of 0 s: close sends a reset
 
 
@@ -84,6 +86,10 @@
         with contextlib.suppress(OSError):
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
 
+    def waited(self) -> float:
+        info = self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_SIZE)
+        return float(LAST_DATA_RECEIVED.unpack_from(info, LAST_DATA_AT)[0]) / 1000.0
+
     def name(self) -> Address:
         found = self.sock.getsockname()
         return found[0], found[1]
--- a/stepsail/loop/stream.py
+++ b/stepsail/loop/stream.py
@@ -60,6 +60,34 @@
             self.sent += count
             rest = rest[count:]
 
+    def waited(self) -> float:
+        """Seconds since the last bytes arrived, read or not; 0 where the system does not tell."""
+        try:
+            return self.port.waited()
+        except OSError:
+            return 0.0
+
+    def write_some(self, data: memoryview, within: float) -> int:
+        """Send what fits now; if nothing does, wait until some does or the far end speaks, then return 0.
+
+        For a sender that must hear an answer which comes before all is sent.
+        """
+        if self.port.closed:
+            raise Closed("the stream is closed")
+        count = self.port.send(data)
+        if count is None:
+            waiter = self.loop.waiter()
+            self.loop.driver.want(self.port, WRITE, waiter)
+            try:
+                self.arm(waiter)
+                self.loop.park(waiter, f"room towards or bytes from {self.peer[0]}:{self.peer[1]}", within)
+            finally:
+                self.loop.driver.unwant(self.port, WRITE, waiter)
+                self.disarm(waiter)
+            return 0
+        self.sent += count
+        return count
+
     def arm(self, waiter: Waiter) -> None:
         """Wake this waiter with READ when bytes or the end arrive; for a task that waits on two things."""
         self.loop.driver.want(self.port, READ, waiter)
--- /dev/null
+++ b/stepsail/standins/world.py
@@ -0,0 +1,287 @@
+"""All that a day has but its umpires: places with boxes, links between zones, release control, roster, clients."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+
+from stepsail.charter import Orders
+from stepsail.interface import Group, Repeat
+from stepsail.loop import Loop
+from stepsail.loop.driver import Address
+from stepsail.standins.box import Box, Seen, Sort, Weather
+from stepsail.standins.builds import Build
+from stepsail.standins.clients import Crowd, Front, Wish
+from stepsail.standins.conveyor import ConveyorService
+from stepsail.standins.day import Day, Trouble
+from stepsail.standins.link import Link, Plan
+from stepsail.standins.roster import RosterService
+from stepsail.standins.transcript import Transcript
+
+SHARED_WINDOW = 1.0  # s over which a build that slows all is felt
+
+
+class Place:
+    """A place for a box: the one that serves, and the one that is coming or going."""
+
+    def __init__(self, number: int, zone: str) -> None:
+        self.number, self.zone = number, zone
+        self.box: Box | None = None
+        self.before: Box | None = None
+        self.wanted: Build | None = None
+        self.starts = 0
+
+
+class World:
+    """Implements release control's `Fleet`. Chance comes in a stream of its own for each part."""
+
+    def __init__(self, loop: Loop, day: Day, orders: Orders, transcript: Transcript,
+                 zones_of_umpires: list[str]) -> None:
+        self.loop, self.day, self.orders, self.transcript = loop, day, orders, transcript
+        self.zones, self.umpire_zones = list(orders.zones), zones_of_umpires
+        charter = orders.charter
+        self.weather, self.seen = Weather(), dict[str, Seen]()
+        self.day.shape.cold_from, self.day.shape.cold_for = charter.cold_from, charter.cold_for
+        self.day.shape.falls_at = charter.fall_multiple
+        self.sorts = [Sort(name, next(r.path for r in orders.routes if r.product == at), day.demand[name][1],
+                           p.repeat.value, p.group.value, p.window)
+                      for at, (name, p) in enumerate(zip(orders.names, charter.products, strict=True))
+                      if name in day.demand]
+        self.links: dict[tuple[str, Address], Link] = {}
+        self.burst, self.cut_zones = 1.0, set[str]()
+        self.first = Build(1)
+        self.builds = {1: self.first}
+        self.places = [Place(at, self.zones[at % len(self.zones)]) for at in range(day.places)]
+        self.roster = RosterService(loop, transcript, day.roster_late, self.reach)
+        for place in self.places:
+            self._run(place, self.first, cold=False, late=0.0)
+        self.conveyor = ConveyorService(loop, transcript, charter, self, day.news_late, self.chance("conveyor"),
+                                        list(orders.names))
+        loop.spawn(self._shared, name="a build that slows all")
+
+    def chance(self, part: str) -> Random:
+        return Random(f"{self.day.seed} {part}")
+
+    def facts(self) -> dict[str, object]:
+        """What the checker of the rules must know."""
+        charter = self.orders.charter
+        return {
+            "products": {n: {"repeats": p.repeat.value, "group": p.group.value, "window": p.window,
+                             "target": p.target, "revenue": p.revenue, "late_share": p.late_share}
+                         for n, p in zip(self.orders.names, charter.products, strict=True)},
+            "second_copies": charter.second_copies, "drain_grace": charter.drain_grace,
+            "cold_from": charter.cold_from, "cold_for": charter.cold_for, "falls_at": charter.fall_multiple,
+            "fall_for": self.day.shape.fall_for, "cores": self.day.shape.cores, "window": charter.window,
+            "free": charter.free, "caps": list(charter.caps), "guarded": charter.guarded_stages,
+            "by_product": charter.by_product, "umpire_zones": self.umpire_zones, "length": self.day.length,
+            "work": max(w for _, w in self.day.demand.values())}
+
+    # -- ways --------------------------------------------------------------------------------------------
+
+    def way(self, zone: str, other: str, to: Address) -> Address:
+        """Where somebody in a zone reaches an address in another."""
+        if zone == other:
+            return to
+        key = (f"{zone} {other}", to)
+        if key not in self.links:
+            self.links[key] = Link(self.loop, to, Plan(delay=self.day.cross_delay), name=f"link {zone} {other}")
+            if {zone, other} & self.cut_zones:
+                self.links[key].cut()
+        return self.links[key].address
+
+    def reach(self, umpire: int, box: Box) -> Address:
+        zone = self.umpire_zones[umpire] if 0 <= umpire < len(self.umpire_zones) else box.zone
+        return self.way(zone, box.zone, box.address)
+
+    def service_for(self, umpire: int, address: Address) -> Address:
+        """Release control and the roster stand in the first zone."""
+        return self.way(self.umpire_zones[umpire], self.zones[0], address)
+
+    # -- the fleet ---------------------------------------------------------------------------------------
+
+    def _run(self, place: Place, build: Build, cold: bool = True, late: float | None = None,
+             at: Address = ("127.0.0.1", 0)) -> Box:
+        place.starts += 1
+        box = Box(self.loop, f"b{place.number}.{place.starts}", place.zone, self.day.shape, build, self.sorts,
+                  self.weather, self.seen, self.chance(f"box {place.number}.{place.starts}"), self.transcript,
+                  cold, at)
+        place.before, place.box = place.box, box
+        self.roster.say(box, "ready", late)
+        return box
+
+    def _chosen(self, share: float) -> list[Place]:
+        return self.places[:max(1, round(share * len(self.places)))]
+
+    def bring(self, build: Build, share: float) -> None:
+        self.builds[build.number] = build
+        for place in self._chosen(share):
+            if place.wanted is not build and (place.box is None or place.box.build is not build):
+                self._start(place, build)
+
+    def _start(self, place: Place, build: Build) -> None:
+        place.wanted = build
+        boot = self.day.boot * (0.75 + 0.5 * self.chance(f"boot {place.number} {build.number}").random())
+
+        def run() -> None:
+            if place.wanted is not build:
+                return
+            old, place.wanted = place.box, None
+            self._run(place, build)
+            if old and (self.orders.charter.replaces or old.build.number > build.number):
+                self._drain(old)
+        self.loop.after(boot, run)
+
+    def running(self, build: Build, share: float) -> bool:
+        return all(p.box is not None and p.box.build is build for p in self._chosen(share))
+
+    def _drain(self, box: Box) -> None:
+        self.roster.say(box, "draining")
+
+        def end() -> None:
+            self.roster.say(box, "gone")
+            box.kill()
+        self.loop.after(self.roster.late + self.day.drain_for, end)
+
+    def _earlier(self, build: Build) -> Build:
+        released = [n for n in self.builds if n < build.number and not self._taken_off(n)]
+        return self.builds[max(released, default=1)]
+
+    def _taken_off(self, number: int) -> bool:
+        return any(n == number and phase == "reverting" for _, n, phase, _ in self.conveyor.history)
+
+    def take_off(self, build: Build) -> None:
+        earlier = self._earlier(build)
+        for place in self.places:
+            if place.wanted is build:
+                place.wanted = None
+            if place.box is None or place.box.build is not build:
+                continue
+            if place.before and place.before.alive and place.before.build is earlier \
+                    and not self.orders.charter.replaces:
+                fresh, place.box, place.before = place.box, place.before, None
+                self._drain(fresh)
+            else:
+                self._start(place, earlier)
+
+    def settle(self, build: Build) -> None:
+        for place in self.places:
+            if place.before and place.before.alive and not self.orders.charter.replaces:
+                self._drain(place.before)
+
+    def boxes(self) -> list[Box]:
+        return [b for p in self.places for b in (p.box, p.before) if b is not None and b.alive]
+
+    def _shared(self) -> None:
+        """A build that slows all boxes does so in step with the share of work that it gets."""
+        while True:
+            self.loop.sleep(0.1)
+            boxes = self.boxes()
+            bad = [b for b in boxes if b.build.kind == "shared"]
+            part = sum(len(b.running) for b in bad) / max(1, sum(len(b.running) for b in boxes))
+            size = bad[0].build.size if bad else 1.0
+            goal = 1 + (size - 1) * min(1.0, part * 4)
+            self.weather.shared += (goal - self.weather.shared) * 0.1 / SHARED_WINDOW
+
+    # -- clients -----------------------------------------------------------------------------------------
+
+    def crowd(self, umpires: list[Address]) -> Crowd:
+        charter = self.orders.charter
+        wishes = []
+        for at, (name, product) in enumerate(zip(self.orders.names, charter.products, strict=True)):
+            if name in self.day.demand:
+                route = next(r for r in self.orders.routes if r.product == at)
+                wishes.append(Wish(name, route.method, route.path, self.day.demand[name][0], product.abandon,
+                                   product.repeat is Repeat.LABELLED and product.group in Group))
+        self.fronts = {zone: Front(self.loop, [(n, a) for n, a in enumerate(umpires)
+                                               if self.umpire_zones[n] == zone], self.day.notice)
+                       for zone in self.zones if zone in self.umpire_zones}
+        return Crowd(self.loop, self.transcript, wishes, self.day.manners, self.fronts,
+                     lambda: self.day.traffic * self.burst, self.chance("clients"))
+
+    # -- troubles ----------------------------------------------------------------------------------------
+
+    def begin(self, trouble: Trouble) -> Callable[[], None]:
+        """Begin a trouble of the world; what ends it."""
+        return {"kill-box": self._kill_box, "stall-box": self._stall_box, "drain-box": self._drain_box,
+                "cut-zone": self._cut_zone, "stall-conveyor": self._stall, "break-conveyor": self._stall,
+                "stall-roster": self._stall, "late-news": self._late_news, "slow-all": self._slow_all,
+                "burst": self._burst}[trouble.kind](trouble)
+
+    def _kill_box(self, trouble: Trouble) -> Callable[[], None]:
+        place = self.places[trouble.of]
+        box = place.box
+        if box is None or not box.alive:
+            return lambda: None
+        box.kill()
+        self.loop.after(trouble.length / 2, lambda: self.roster.say(box, "gone"))  # noticed slowly
+
+        def back() -> None:
+            if place.box is box:
+                place.box = None
+                self._run(place, box.build, at=box.address)
+        return back
+
+    def _stall_box(self, trouble: Trouble) -> Callable[[], None]:
+        box = self.places[trouble.of].box
+        if box:
+            self.transcript.add("box", "stalled", box=box.name, seconds=trouble.length)
+            box.stall(trouble.length)
+        return lambda: None
+
+    def _drain_box(self, trouble: Trouble) -> Callable[[], None]:
+        place = self.places[trouble.of]
+        box = place.box
+        if box is None:
+            return lambda: None
+        self._drain(box)
+
+        def back() -> None:
+            if place.box is box:
+                place.box = None
+                self._run(place, box.build)
+        return back
+
+    def _cut_zone(self, trouble: Trouble) -> Callable[[], None]:
+        zone = self.zones[trouble.of % len(self.zones)]
+        touched = [link for (ends, _), link in self.links.items() if zone in ends.split()]
+        self.cut_zones.add(zone)
+        for link in touched:
+            link.cut()
+        self.transcript.add("link", "cut", zone=zone)
+
+        def heal() -> None:
+            self.cut_zones.discard(zone)
+            for (ends, _), link in self.links.items():
+                if zone in ends.split() and not self.cut_zones & set(ends.split()):
+                    link.heal()
+            self.transcript.add("link", "healed", zone=zone)
+        return heal
+
+    def _stall(self, trouble: Trouble) -> Callable[[], None]:
+        service = self.roster.service if trouble.kind == "stall-roster" else self.conveyor.service
+        service.stalled = "errors" if trouble.kind == "break-conveyor" else "silence"
+
+        def end() -> None:
+            service.stalled = ""
+        return end
+
+    def _late_news(self, trouble: Trouble) -> Callable[[], None]:
+        self.conveyor.extra_late = trouble.size
+
+        def end() -> None:
+            self.conveyor.extra_late = 0.0
+        return end
+
+    def _slow_all(self, trouble: Trouble) -> Callable[[], None]:
+        self.weather.slow = trouble.size
+
+        def end() -> None:
+            self.weather.slow = 1.0
+        return end
+
+    def _burst(self, trouble: Trouble) -> Callable[[], None]:
+        self.burst = trouble.size
+
+        def end() -> None:
+            self.burst = 1.0
+        return end
--- /dev/null
+++ b/stepsail/umpire/endings.py
@@ -0,0 +1,43 @@
+"""From bytes to an outcome: how a relay ended, and so whether it may have run. No I/O, no clock.
+
+What counts is what left this process: not one byte of the request written means that it never ran; one byte
+written and no whole answer means that it may have run, whatever closed the connection. A server that says
+that it did not run is believed.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from stepsail.interface import Outcome
+
+NOT_RUN = b"stepsail-not-run"  # header of a server's 503: the transaction was not begun
+
+
+class Close(Enum):
+    """What ended an exchange."""
+
+    NOT_BEGUN = "the transaction had closed, its time was over, or a bound of this umpire was reached"
+    NO_CONNECTION = "refused, reset or hung while connecting, or a certificate that is not to be trusted"
+    ANSWERED = "a whole answer was read"
+    BROKE = "closed, reset, or an answer that is no HTTP"
+    TIME_OVER = "the relay's time ran out"
+    WITHDRAWN = "the module gave it up"
+
+
+def outcome(close: Close, written: int, status: int = 0, says_not_run: bool = False) -> Outcome:
+    """`written`: bytes of the request that the system took, on the connection that was used last."""
+    if close is Close.ANSWERED:
+        if status == 503 and says_not_run:
+            return Outcome.FULL
+        return Outcome.ERRORED if status >= 500 else Outcome.HANDLED
+    if close is Close.NO_CONNECTION:
+        return Outcome.UNREACHED
+    if written == 0:
+        return Outcome.UNREACHED if close is Close.BROKE else Outcome.UNSENT
+    return {Close.NOT_BEGUN: Outcome.UNSENT, Close.BROKE: Outcome.BROKEN, Close.TIME_OVER: Outcome.LATE,
+            Close.WITHDRAWN: Outcome.WITHDRAWN}[close]
+
+
+NEVER_RAN = frozenset((Outcome.FULL, Outcome.UNREACHED, Outcome.UNSENT))
+"""The outcomes that show that a relay did not run; all others mean that it may have."""
--- /dev/null
+++ b/stepsail/umpire/life.py
@@ -0,0 +1,105 @@
+"""An umpire's life: start, ready once it can decide, serve, and leave after answering what it holds."""
+
+from __future__ import annotations
+
+import os
+import signal
+from collections.abc import Sequence
+
+from stepsail.charter import Orders
+from stepsail.interface import MakeUmpire, ServerHandle, Verdict
+from stepsail.loop import Event, Loop, Task
+from stepsail.umpire.conveyor import Conveyor
+from stepsail.umpire.door import Door
+from stepsail.umpire.host import Held, Host, Log
+from stepsail.umpire.neighbours import Neighbours
+from stepsail.umpire.nodes import Nodes
+from stepsail.umpire.roster import Roster
+
+LOOK = 0.02  # s between looks whether all that was held is answered
+FIRST_NEWS = 1.0  # s that a start waits for release control; without news it serves all the same
+
+
+class Daemon:
+    """One umpire on one loop."""
+
+    def __init__(self, loop: Loop, orders: Orders, make: MakeUmpire, log: Log, verbose: bool = False) -> None:
+        self.loop, self.orders, self.make, self.log = loop, orders, make, log
+        self.seed = orders.seed if orders.seed is not None else int.from_bytes(os.urandom(6), "big")
+        self.host = Host(loop, orders, log, verbose)
+        self.nodes = Nodes(loop, orders, self.host)
+        self.door = Door(loop, orders, self.host, log)
+        self.conveyor = Conveyor(loop, orders, self.host, log, self.seed)
+        self.roster = Roster(loop, orders, self.host, log, self.seed)
+        self.neighbours = Neighbours(loop, orders, self.host)
+        self.stopped = Event(loop)
+
+    # what the module asks of its host's doers
+    def relay(self, held: Held, server: ServerHandle, until: float) -> Task:
+        return self.nodes.relay(held, server, until)
+
+    def probe(self, server: ServerHandle) -> None:
+        self.nodes.probe(server)
+
+    def vote(self, build: int, stage: int, verdict: Verdict) -> None:
+        self.conveyor.vote(build, stage, verdict)
+
+    def ask_roster(self) -> None:
+        self.roster.ask()
+
+    def watch_roster(self) -> None:
+        self.roster.watch()
+
+    def tell_seen(self, neighbour: int, seen: Sequence[tuple[ServerHandle, int, int, int]]) -> None:
+        self.neighbours.tell_seen(neighbour, seen)
+
+    def tell_found(self, build: int, stage: int, verdict: Verdict) -> None:
+        self.neighbours.tell_found(build, stage, verdict)
+
+    def stop(self) -> None:
+        """Leave; a second call changes nothing."""
+        self.stopped.set()
+
+    def run(self, signals: bool = True) -> int:
+        """Serve until stopped; 0 if all that was held has been answered, 3 if time ran out before."""
+        if signals:
+            for number in (signal.SIGTERM, signal.SIGINT):
+                self.loop.driver.on_signal(number, self.stop)
+        charter = self.orders.charter
+        self.log.info("starting", umpire=charter.me, umpires=charter.umpires, seed=self.seed)
+        self.host.start(self.make, self, self.seed)
+        self.roster.recall()
+        self.roster.watch()
+        tasks = [self.loop.spawn(self.conveyor.listen, name="conveyor", essential=True),
+                 self.loop.spawn(self.nodes.sweep, name="sweep", essential=True)]
+        if self.orders.hears:
+            tasks.append(self.loop.spawn(self.neighbours.listen, name="neighbours", essential=True))
+        opening = self.loop.spawn(self._open, name="opening", essential=True)
+        self.stopped.wait(why="a signal to stop")
+        opening.cancel()
+        return self._leave(tasks)
+
+    def _open(self) -> None:
+        """Ready only once there is a list of servers to decide on; news is waited for, but not for ever."""
+        self.roster.known.wait(why="a list of servers")
+        until = self.loop.now() + FIRST_NEWS
+        while not self.conveyor.heard and self.loop.now() < until:
+            self.loop.sleep(LOOK)
+        self.door.open()
+        self.door.ready = True
+        self.log.info("ready", listen="{}:{}".format(*self.orders.listen), servers=len(self.roster.lines))
+
+    def _leave(self, tasks: list[Task]) -> int:
+        self.log.info("leaving", held=len(self.host.held))
+        self.door.leave()
+        open_streams = self.door.listener.open if self.door.listener else set()
+        with self.loop.timeout(self.orders.leave_within) as scope:
+            while open_streams or any(not h.closed for h in self.host.held.values()):
+                self.loop.sleep(LOOK)
+        for task in tasks:
+            task.cancel()
+        if self.orders.roster_kept and self.roster.lines:
+            self.roster.keep()
+        left = sum(not h.closed for h in self.host.held.values())
+        self.log.info("left", taken=self.host.taken, unanswered=left, **self.host.counts)
+        return 3 if scope.expired else 0
--- /dev/null
+++ b/stepsail/umpire/neighbours.py
@@ -0,0 +1,77 @@
+"""What umpires say to each other: datagrams in msgpack, versioned, bounded, lost at will."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Any
+
+import msgspec
+
+from stepsail.charter import Orders
+from stepsail.interface import ServerHandle, Verdict
+from stepsail.loop import Datagrams, Loop
+from stepsail.umpire.host import Host
+
+VERSION = 1
+SEEN, FOUND = "seen", "found"
+MOST = 1200  # bytes in a datagram: under any common path's limit
+SEEN_MOST = 40  # outcomes in one; an address takes up to 22 bytes
+BURST, A_SECOND = 200, 100.0  # datagrams heard at once, and a second, from one neighbour, at most
+
+
+class Neighbours:
+    """Speaks where the charter lets umpires speak; else does nothing."""
+
+    def __init__(self, loop: Loop, orders: Orders, host: Host) -> None:
+        self.loop, self.orders, self.host = loop, orders, host
+        self.socket = Datagrams(loop, orders.hears) if orders.hears else None
+        self.heard_at: dict[tuple[int, str], float] = {}
+        self.budget: dict[int, tuple[float, float]] = {}
+        self.said = 0
+
+    def _send(self, kind: str, to: Sequence[int], *rest: Any) -> None:
+        if self.socket is None:
+            return
+        self.said += 1
+        at = self.host.clock + self.said * 1e-6  # no two words alike
+        word = msgspec.msgpack.encode([VERSION, kind, self.orders.charter.me, at, *rest])
+        for number in to:
+            if number in self.orders.neighbours and number != self.orders.charter.me:
+                self.socket.send(word, self.orders.neighbours[number])
+
+    def tell_seen(self, neighbour: int, seen: Sequence[tuple[ServerHandle, int, int, int]]) -> None:
+        for at in range(0, len(seen), SEEN_MOST):
+            words = [(server.address, *rest) for server, *rest in seen[at:at + SEEN_MOST]]
+            self._send(SEEN, [neighbour], words)
+
+    def tell_found(self, build: int, stage: int, verdict: Verdict) -> None:
+        self._send(FOUND, sorted(self.orders.neighbours), build, stage, int(verdict))
+
+    def listen(self) -> None:
+        while self.socket is not None:
+            data, _ = self.socket.receive()
+            try:
+                self.heard(msgspec.msgpack.decode(data))
+            except (msgspec.DecodeError, ValueError, TypeError):
+                continue  # malformed words end here
+
+    def heard(self, word: Any) -> None:
+        """Hand on one word; what is of another version, from nobody, late, twice or too much is dropped."""
+        version, kind, who, at, *rest = word
+        if version != VERSION or who not in self.orders.neighbours or who == self.orders.charter.me:
+            return
+        if not isinstance(at, float) or not at > self.heard_at.get((who, kind), float("-inf")):
+            return
+        left, since = self.budget.get(who, (float(BURST), self.loop.now()))
+        left = min(float(BURST), left + (self.loop.now() - since) * A_SECOND)
+        if left < 1:
+            return
+        self.budget[who], self.heard_at[who, kind] = (left - 1, self.loop.now()), at
+        if kind == FOUND:
+            build, stage, verdict = (int(x) for x in rest)
+            self.host.tell(self.host.umpire.neighbour_found, who, build, stage, Verdict(verdict))
+        elif kind == SEEN and len(rest[0]) <= SEEN_MOST:
+            for address, build, product, place in rest[0]:
+                server = self.host.servers.get(bytes(address))
+                if server is not None and all(isinstance(x, int) and x >= 0 for x in (build, product, place)):
+                    self.host.tell(self.host.umpire.neighbour_saw, server, build, product, place)
--- /dev/null
+++ b/stepsail/umpire/roster.py
@@ -0,0 +1,173 @@
+"""The list of servers: asked for or pushed, by long poll; the last one is kept on disk across a restart."""
+
+from __future__ import annotations
+
+import os
+import zlib
+from pathlib import Path
+from typing import Any
+from zlib import crc32
+
+import msgspec
+
+from stepsail.charter import Orders
+from stepsail.loop import Event, Loop, Task
+from stepsail.umpire.caller import Caller, CallFailed
+from stepsail.umpire.host import Host, Log
+from stepsail.umpire.messages import ROSTER, STATES
+from stepsail.umpire.retry import Backoff
+
+POLL, POLL_SLACK = 5.0, 2.0  # s that a long poll may stay open, and s beyond for its answer
+ASK_WITHIN = 2.0  # s for a list that is asked for once
+KEEP_EVERY = 0.5  # s between two writes of the kept list, at least
+
+
+class Roster:
+    """Hands each list to the module, whole or as changes, in order."""
+
+    def __init__(self, loop: Loop, orders: Orders, host: Host, log: Log, seed: int) -> None:
+        self.loop, self.orders, self.host, self.log, self.seed = loop, orders, host, log, seed
+        self.draws, self.seq = 0, 0
+        self.lines: dict[str, dict[str, Any]] = {}
+        self.starts: dict[str, tuple[str, float]] = {}
+        self.known = Event(loop)
+        self.watching: Task | None = None
+        self.keep_at = 0.0
+
+    def chance(self) -> float:
+        self.draws += 1
+        return crc32(b"roster %d.%d" % (self.seed, self.draws)) / 2**32
+
+    # -- asking ------------------------------------------------------------------------------------------
+
+    def watch(self) -> None:
+        """Hear of changes from now on; nothing happens where that is so already."""
+        if self.watching is None or self.watching.done:
+            self.watching = self.loop.spawn(self._watch, name="roster")
+
+    def _watch(self) -> None:
+        caller, backoff, first = Caller(self.loop, self.orders.roster), Backoff(), True
+        try:
+            while True:
+                wait = 0.0 if first else POLL
+                target = f"/roster?after={0 if first else self.seq}&umpire={self.orders.charter.me}" \
+                         f"&wait={wait:g}"
+                try:
+                    said = caller.call(b"GET", target.encode(), None, ROSTER, wait + POLL_SLACK)
+                except CallFailed as trouble:
+                    self.log.warning("no_roster", error=str(trouble))
+                    self.host.tell(self.host.umpire.roster_failed)
+                    if self.orders.charter.must_ask:
+                        return  # the module asks again when it sees fit
+                    self.loop.sleep(backoff.next(self.chance()))
+                    first = True
+                    continue
+                backoff.well()
+                first = False
+                self.hear(said, cached=False)
+        finally:
+            caller.close()
+
+    def ask(self) -> None:
+        self.loop.spawn(self._ask, name="roster asked once")
+
+    def _ask(self) -> None:
+        caller = Caller(self.loop, self.orders.roster)
+        target = f"/roster?after=0&umpire={self.orders.charter.me}&wait=0".encode()
+        try:
+            self.hear(caller.call(b"GET", target, None, ROSTER, ASK_WITHIN), cached=False)
+        except CallFailed as trouble:
+            self.log.warning("no_roster", error=str(trouble))
+            self.host.tell(self.host.umpire.roster_failed)
+        finally:
+            caller.close()
+
+    # -- telling -----------------------------------------------------------------------------------------
+
+    def hear(self, said: dict[str, Any], cached: bool) -> None:
+        """All lines of one list under one clock reading, then the list itself."""
+        whole, lines = said["whole"], said["servers"]
+        if not whole and said["seq"] <= self.seq:
+            return
+        if whole and not cached and not said["servers"] and self.lines:
+            self.log.warning("roster_empty", before=len(self.lines))
+        self.seq = said["seq"]
+        if whole:
+            self.lines = {}
+        for line in lines:
+            self.lines[line["address"]] = line
+        self.host.tell(self._tell, lines, whole, cached)
+        if self.lines:
+            self.known.set()
+        if not cached:
+            self._keep_soon()
+
+    def _tell(self, lines: list[dict[str, Any]], whole: bool, cached: bool) -> None:
+        for line in lines:
+            server = self.host.meet(line["address"].encode())
+            if line["zone"] not in self.orders.zones:
+                self.log.warning("zone_unknown", server=line["address"], zone=line["zone"])
+                continue
+            server.listed(self.orders.zones.index(line["zone"]), line.get("cell", 0), line["build"],
+                          STATES[line["state"]], self._since(line, cached), float(line.get("size", 1.0)))
+        self.host.umpire.roster_read(whole, cached)
+
+    def _since(self, line: dict[str, Any], cached: bool) -> float:
+        """When the server started, on this umpire's clock: fixed at the first hearing of each start.
+
+        A list from before a restart tells no ages: its servers count as started now, so that none that is
+        cold is taken for a warm one.
+        """
+        start = "kept" if cached else line.get("start", "")
+        known = self.starts.get(line["address"])
+        if known and known[0] == start:
+            return known[1]
+        age = 0.0 if cached else line.get("age")
+        since = 0.0 if age is None else self.host.clock - float(age)
+        self.starts[line["address"]] = (start, since)
+        return since
+
+    # -- across a restart --------------------------------------------------------------------------------
+
+    def _keep_soon(self) -> None:
+        if self.orders.roster_kept and self.keep_at <= self.loop.now():
+            self.keep_at = self.loop.now() + KEEP_EVERY
+            self.loop.after(KEEP_EVERY, self.keep)
+
+    def keep(self) -> None:
+        """Write the list beside its place and move it there. No fsync, as a torn one is found by its sum;
+        a disk that is full leaves the earlier list and a warning."""
+        file = self.orders.roster_kept
+        if file is None:
+            return
+        lines = [line for line in self.lines.values() if line["state"] != "gone"]
+        body = msgspec.json.encode({"seq": 0, "whole": True, "servers": lines})
+        beside = file.with_name(file.name + ".new")
+        try:
+            beside.write_bytes(b"%08x\n%s" % (zlib.crc32(body), body))
+            os.replace(beside, file)
+        except OSError as trouble:
+            self.log.warning("roster_not_kept", file=str(file), error=str(trouble))
+
+    def recall(self) -> bool:
+        """Tell the kept list, if there is a whole and valid one."""
+        said = read_kept(self.orders.roster_kept)
+        if said is None:
+            return False
+        self.hear(said, cached=True)
+        self.seq = 0
+        return True
+
+
+def read_kept(file: Path | None) -> dict[str, Any] | None:
+    """The kept list; None if there is none, or it is torn or not valid."""
+    try:
+        if file is None:
+            return None
+        head, _, body = file.read_bytes().partition(b"\n")
+        if head != b"%08x" % zlib.crc32(body):
+            return None
+        said: dict[str, Any] = msgspec.json.decode(body)
+        return said if ROSTER.is_valid(said) else None
+    except (OSError, ValueError, msgspec.DecodeError):
+        return None
--- /dev/null
+++ b/stepsail/verify/history.py
@@ -0,0 +1,195 @@
+"""A transcript put in order: tries, relays, what each umpire was told, and when an umpire or a way was not there."""
+
+from __future__ import annotations
+
+import bisect
+import json
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+Line = dict[str, Any]
+FOREVER = float("inf")
+
+
+class BadTranscript(Exception):
+    """A transcript that cannot be judged: place and reason."""
+
+
+@dataclass
+class Relay:
+    """One relay as its box saw it. `ended` is when the box was done with it; infinite while it is not."""
+
+    line: Line
+    umpire: int
+    box: str
+    zone: str
+    build: int
+    product: str
+    at: float
+    ended: float = FOREVER
+    full: bool = False
+    end: Line | None = None
+
+
+@dataclass
+class Try:
+    """One try of a client."""
+
+    line: Line
+    umpire: int
+    product: str
+    at: float
+    until: float
+    answers: list[Line] = field(default_factory=list)
+    relays: list[Relay] = field(default_factory=list)
+
+
+@dataclass
+class Told:
+    """What one umpire was told, in order of time."""
+
+    states: list[Line] = field(default_factory=list)
+    lists: list[Line] = field(default_factory=list)
+
+
+@dataclass
+class Span:
+    """A stretch of time."""
+
+    start: float
+    end: float = FOREVER
+
+    def meets(self, start: float, end: float) -> bool:
+        return self.start <= end and start <= self.end
+
+
+class History:
+    """Raises BadTranscript for lines that lack what every line has, or without facts."""
+
+    def __init__(self, lines: Iterable[Line]) -> None:
+        self.lines = list(lines)
+        self.facts: Line = {}
+        self.tries: dict[str, Try] = {}
+        self.relays: list[Relay] = []
+        self.told: dict[int, Told] = {}
+        self.absent: dict[int, list[Span]] = {}  # an umpire killed, until it runs again
+        self.stopped: dict[int, list[Span]] = {}
+        self.cuts: dict[str, list[Span]] = {}
+        self.stalls: dict[str, list[Span]] = {}
+        self.starts: dict[str, Line] = {}
+        self.box_ends: dict[str, float] = {}
+        self.stray: list[Line] = []
+        open_relays: dict[tuple[str, str], list[Relay]] = {}
+        before = -FOREVER
+        for number, line in enumerate(self.lines, 1):
+            try:
+                at, end, what = float(line["t"]), str(line["at"]), str(line["what"])
+                if at < before:
+                    raise BadTranscript(f"line {number}: its time is before the line above it")
+                before = at
+                self._line(line, at, end, what, open_relays)
+            except (KeyError, TypeError, ValueError) as trouble:
+                raise BadTranscript(f"line {number}: {type(trouble).__name__} {trouble}") from None
+        if not self.facts:
+            raise BadTranscript("no facts of the day: is this a whole transcript?")
+        for relay in self.relays:
+            if relay.line["id"] in self.tries:
+                self.tries[relay.line["id"]].relays.append(relay)
+
+    def _line(self, line: Line, at: float, end: str, what: str,
+              open_relays: dict[tuple[str, str], list[Relay]]) -> None:
+        if end == "day":
+            if what == "facts":
+                self.facts = line
+        elif end == "client":
+            self._client(line, at, what)
+        elif end == "box":
+            self._box(line, at, what, open_relays)
+        elif end == "conveyor" and what == "told":
+            self.told.setdefault(line["umpire"], Told()).states.append(line)
+        elif end == "roster" and what == "told":
+            self.told.setdefault(line["umpire"], Told()).lists.append(line)
+        elif end == "umpire":
+            self._umpire(line, at, what)
+        elif end == "link":
+            spans = self.cuts.setdefault(line["zone"], [])
+            if what == "cut":
+                spans.append(Span(at))
+            elif spans:
+                spans[-1].end = at
+
+    def _client(self, line: Line, at: float, what: str) -> None:
+        if what == "send":
+            self.tries[line["id"]] = Try(line, line["umpire"], line["product"], at, float(line["until"]))
+        elif what in ("answer", "extra", "late"):
+            if line["id"] in self.tries:
+                self.tries[line["id"]].answers.append(line)
+            else:
+                self.stray.append(line)
+
+    def _box(self, line: Line, at: float, what: str, open_relays: dict[tuple[str, str], list[Relay]]) -> None:
+        box = line["box"]
+        if what == "start":
+            self.starts[box] = line
+        elif what == "end":
+            self.box_ends[box] = at
+            for (name, _), waiting in open_relays.items():
+                for relay in waiting if name == box else ():
+                    relay.ended = at
+        elif what == "stalled":
+            self.stalls.setdefault(box, []).append(Span(at, at + line["seconds"]))
+        elif what == "relay":
+            relay = Relay(line, line["umpire"], box, line["zone"], line["build"], line["product"], at)
+            self.relays.append(relay)
+            open_relays.setdefault((box, line["id"]), []).append(relay)
+        elif what in ("ran", "full", "dropped", "unheard"):
+            waiting = open_relays.get((box, line["id"]), [])
+            if waiting:
+                relay = waiting.pop(0)
+                relay.ended, relay.end, relay.full = at, line, what == "full"
+
+    def _umpire(self, line: Line, at: float, what: str) -> None:
+        who = line["umpire"]
+        for spans, begins, ends in ((self.absent.setdefault(who, []), ("killed", "ended"), ("started",)),
+                                    (self.stopped.setdefault(who, []), ("stopped",), ("continued", "killed"))):
+            if what in begins:
+                spans.append(Span(at))
+            elif what in ends and spans and spans[-1].end == FOREVER:
+                spans[-1].end = at
+
+    # -- questions ---------------------------------------------------------------------------------------
+
+    def was_absent(self, umpire: int, start: float, end: float) -> bool:
+        return any(s.meets(start, end) for s in self.absent.get(umpire, []))
+
+    def was_stopped(self, umpire: int, start: float, end: float) -> bool:
+        return any(s.meets(start, end) for s in self.stopped.get(umpire, []))
+
+    def was_cut(self, zones: Iterable[str], start: float, end: float) -> bool:
+        """Whether the way between two places was cut then; within one zone there is no way to cut."""
+        both = set(zones)
+        return len(both) > 1 and any(s.meets(start, end) for z in both for s in self.cuts.get(z, []))
+
+    def zone_of(self, umpire: int) -> str:
+        zones: list[str] = self.facts["umpire_zones"]
+        return zones[umpire] if 0 <= umpire < len(zones) else ""
+
+    def state_at(self, umpire: int, at: float) -> Line | None:
+        """The latest state that this umpire was told by then."""
+        states = self.told.get(umpire, Told()).states
+        place = bisect.bisect_right(states, at, key=lambda line: float(line["t"]))
+        return states[place - 1] if place else None
+
+
+def read_history(file: Path) -> History:
+    """Raises OSError, BadTranscript."""
+    lines = []
+    with file.open("rb") as source:
+        for number, raw in enumerate(source, 1):
+            try:
+                lines.append(json.loads(raw))
+            except ValueError:
+                raise BadTranscript(f"{file}:{number}: not JSON; a torn line?") from None
+    return History(lines)
