Tests of the umpire on sockets: each hard ending, bad clients, pauses, leaving, restart

Need: what the umpire must hold against has to be caused, not assumed. Found and mended by them: an answer forced by the door came when no time was left to write it.

--- a/stepsail/umpire/door.py
+++ b/stepsail/umpire/door.py
@@ -163,13 +163,13 @@
 
     def _await(self, inlet: Inlet, held: Held) -> bool:
         """Wait for the final answer; False when the client is gone."""
-        loop = self.loop
+        loop, forced_at = self.loop, (held.until + held.client_until) / 2  # time is left to write it
         while not held.closed:
             held.waiter = waiter = loop.waiter()
             try:
                 armed = inlet.arm(waiter)
                 try:
-                    loop.park(waiter, "a final answer", max(0.0, held.client_until - loop.now()))
+                    loop.park(waiter, "a final answer", max(0.0, forced_at - loop.now()))
                 finally:
                     if armed:
                         inlet.stream.disarm(waiter)
--- /dev/null
+++ b/tests/rig.py
@@ -0,0 +1,167 @@
+"""One umpire on a loop with scripted boxes, release control and roster, all on loopback in this process."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from stepsail.balance import Umpire
+from stepsail.charter import read_orders
+from stepsail.http import Bounds, Inlet, Outlet, Progress, Request, Response, encode_request, encode_response
+from stepsail.loop import Listener, Loop, PollDriver, Stream
+from stepsail.standins.rehearsal import free_address
+from stepsail.standins.service import Service
+from stepsail.umpire.life import Daemon
+
+SITE = """
+zones here there
+zone here
+product look {
+    route GET /look
+    repeats redoable
+    target 400ms
+    abandon 1500ms
+}
+product pay {
+    route POST /pay
+    repeats irreversible
+    target 400ms
+    abandon 1500ms
+}
+product mark {
+    route POST /mark
+    repeats labelled zone 5s
+    target 400ms
+    abandon 1500ms
+}
+release {
+    stage 100% cap 1
+}
+"""
+Script = Callable[["ScriptedBox", Stream, Request, Inlet], bytes | None]
+
+
+class Said(list[tuple[str, dict[str, Any]]]):
+    """A log that keeps what it is told."""
+
+    def _line(self, event: str, **fields: Any) -> None:
+        self.append((event, fields))
+
+    debug = info = warning = error = _line
+
+    def events(self) -> list[str]:
+        return [event for event, _ in self]
+
+
+class ScriptedBox:
+    """A box that does what its script says; the script gives the answer's bytes, or None to hang up."""
+
+    def __init__(self, loop: Loop, script: Script, build: int = 1, zone: str = "here") -> None:
+        self.loop, self.script, self.build, self.zone, self.state = loop, script, build, zone, "ready"
+        self.seen: list[Request] = []
+        self.listener = Listener(loop, ("127.0.0.1", 0), 1000)
+        self.address = "{}:{}".format(*self.listener.address)
+        loop.spawn(self.listener.serve, self._serve, "box", name="box")
+
+    def _serve(self, stream: Stream) -> None:
+        inlet = Inlet(self.loop, stream, Bounds())
+        while (request := inlet.next()) is not None:
+            self.seen.append(request)
+            answer = self.script(self, stream, request, inlet)
+            if answer is None:
+                return
+            stream.write(answer, 2.0)
+
+
+def answers(status: int = 200, body: bytes = b"ok", headers: tuple[tuple[bytes, bytes], ...] = ()) -> Script:
+    return lambda box, stream, request, inlet: encode_response(status, headers, body)
+
+
+def hangs(seconds: float = 30.0) -> Script:
+    def script(box: ScriptedBox, stream: Stream, request: Request, inlet: Inlet) -> bytes | None:
+        box.loop.sleep(seconds)
+        return encode_response(200, [], b"late")
+    return script
+
+
+def hangs_up(box: ScriptedBox, stream: Stream, request: Request, inlet: Inlet) -> bytes | None:
+    return None
+
+
+class Rig:
+    """Runs `test(rig)` as the main task beside the umpire."""
+
+    def __init__(self, folder: Path, test: Callable[[Rig], None], scripts: list[Script], extra: str = "") -> None:
+        self.driver, self.log, self.folder = PollDriver(), Said(), folder
+        self.loop = Loop(self.driver, self.log._line)
+        self.scripts, self.extra, self.test = scripts, extra, test
+        self.file = folder / "umpire.conf"
+        self.state = {"build": 1, "stage": 0, "phase": "released", "cap": 1.0, "age": 100.0}
+        try:
+            self.loop.run(self._main)
+        finally:
+            self.driver.shutdown()
+
+    def _main(self) -> None:
+        self.boxes = [ScriptedBox(self.loop, script) for script in self.scripts]
+        self.conveyor = Service(self.loop, "conveyor", lambda path, query, body, stream: self._news(query))
+        self.roster = Service(self.loop, "roster", lambda path, query, body, stream: self._list(query))
+        self.listen = free_address()
+        self.file.write_text("\n".join((
+            "umpire 0 of 1", "seed 5", "listen {}:{}".format(*self.listen),
+            "conveyor {}:{}".format(*self.conveyor.address),
+            "roster {}:{} pushed keep kept.json".format(*self.roster.address), SITE, self.extra)))
+        self.start()
+        self.test(self)
+
+    def start(self) -> None:
+        self.daemon = Daemon(self.loop, read_orders(self.file), Umpire, self.log)
+        self.life = self.loop.spawn(self.daemon.run, False, name="umpire")
+        until = self.loop.now() + 5
+        while not self.daemon.door.ready and self.loop.now() < until:
+            self.loop.sleep(0.005)
+        assert self.daemon.door.ready, self.log
+
+    def _news(self, query: dict[str, str]) -> dict[str, Any]:
+        if int(query.get("after", 0)):
+            self.loop.sleep(0.2)
+        return {"seq": 1, "state": self.state}
+
+    def _list(self, query: dict[str, str]) -> dict[str, Any]:
+        if int(query.get("after", 0)):
+            self.loop.sleep(0.05)
+        return {"seq": int(query.get("after", 0)) + 1, "whole": True, "servers": [
+            {"address": b.address, "zone": b.zone, "build": b.build, "state": b.state, "start": "first"}
+            for b in self.boxes]}
+
+    def connect(self) -> Stream:
+        return Stream.connect(self.loop, self.listen, 1.0)
+
+    def plain(self) -> socket.socket:
+        """A blocking socket: for clients with bad manners."""
+        return socket.create_connection(self.listen, 1.0)
+
+    def ask(self, method: str, path: str, body: bytes = b"", left: float | None = None, within: float = 3.0,
+            stream: Stream | None = None, **headers: str) -> Response:
+        """One transaction on a connection of its own."""
+        own = stream or self.connect()
+        named = [(b"host", b"x")] + [(k.replace("_", "-").encode(), v.encode()) for k, v in headers.items()]
+        if left is not None:
+            named.append((b"request-timeout", b"%.3f" % left))
+        try:
+            data = encode_request(method.encode(), path.encode(), named, body)
+            return Outlet(self.loop, own, Bounds()).exchange(data, self.loop.now() + within, Progress())
+        finally:
+            if stream is None:
+                own.close()
+
+    def total(self) -> int:
+        return sum(len(b.seen) for b in self.boxes)
+
+
+def said(answer: Response) -> Any:
+    return msgspec.json.decode(answer.body)
