--- /dev/null
+++ b/tests/broken_umpire.py
@@ -0,0 +1,32 @@
+"""An umpire that breaks a rule on purpose, for the tests that show that the checker finds it."""
+
+from __future__ import annotations
+
+import sys
+from typing import Any
+
+from stepsail import balance
+from stepsail.cli.main import main
+from stepsail.umpire import door
+
+
+def exposes_all(self: Any, transaction: Any, build: int) -> bool:
+    return True
+
+
+def repeats_all(self: Any, server: Any) -> bool:
+    return True
+
+
+if __name__ == "__main__":
+    fault = sys.argv.pop(1)
+    if fault == "exposure":
+        balance.Umpire.may_expose = exposes_all  # type: ignore[method-assign]
+    elif fault == "repeats":
+        balance.Transaction.may_go = repeats_all  # type: ignore[method-assign]
+    elif fault == "answers":
+        whole = door.Door._encode
+        door.Door._encode = lambda *a: whole(*a) * 2  # type: ignore[method-assign]
+    else:
+        raise SystemExit(f"unknown fault {fault}")
+    main()
--- /dev/null
+++ b/tests/standins/test_links.py
@@ -0,0 +1,83 @@
+"""Faulty links between umpire and boxes: whatever byte the fault hits, the irreversible runs at most once."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from random import Random
+
+import pytest
+from rig import Rig, answers
+
+from stepsail.loop import Datagrams
+from stepsail.standins.link import DatagramLink, Link, Plan
+
+
+def linked(rig: Rig, plan: Plan) -> list[Link]:
+    """Put a link before each box, with this plan."""
+    links = [Link(rig.loop, box.listener.address, plan) for box in rig.boxes]
+    for box, link in zip(rig.boxes, links, strict=True):
+        box.address = "{}:{}".format(*link.address)
+    rig.loop.sleep(0.15)
+    return links
+
+
+@pytest.mark.parametrize("way", ["up", "down"])
+def test_a_reset_at_any_byte_runs_the_irreversible_at_most_once(tmp_path: Path, way: str) -> None:
+    def test(rig: Rig) -> None:
+        for at in (0, 1, 20, 80, 150, 200):
+            linked(rig, Plan(reset_up=at) if way == "up" else Plan(reset_down=at))
+            before = rig.total()
+            answer = rig.ask("POST", "/pay", b'{"a":1}', left=1.0)
+            assert rig.total() - before <= 1
+            assert answer.status in (200, 502, 504) or rig.total() == before
+    Rig(tmp_path, test, [answers(), answers()])
+
+
+@pytest.mark.parametrize("plan", [Plan(stall_up=0), Plan(stall_up=50), Plan(stall_down=0), Plan(stall_down=20)])
+def test_a_half_open_link_ends_in_one_answer_in_the_clients_time(tmp_path: Path, plan: Plan) -> None:
+    def test(rig: Rig) -> None:
+        linked(rig, plan)
+        start = rig.loop.now()
+        assert rig.ask("POST", "/pay", b"{}", left=0.5).status == 504
+        assert rig.loop.now() - start < 0.5 and rig.total() <= 1
+    Rig(tmp_path, test, [answers(), answers()])
+
+
+def test_a_slow_link_only_takes_longer(tmp_path: Path) -> None:
+    def test(rig: Rig) -> None:
+        linked(rig, Plan(delay=0.02, rate=20000))
+        assert rig.ask("POST", "/pay", bytes(2000)).status == 200
+        assert rig.boxes[0].seen[0].body == bytes(2000)
+    Rig(tmp_path, test, [answers()])
+
+
+def test_what_meets_a_cut_is_lost_and_after_it_all_goes_on(tmp_path: Path) -> None:
+    def test(rig: Rig) -> None:
+        links = linked(rig, Plan())
+        assert rig.ask("GET", "/look").status == 200
+        for link in links:
+            link.cut()
+        assert rig.ask("POST", "/pay", b"{}", left=0.4).status == 504
+        seen = rig.total()
+        for link in links:
+            link.heal()
+        rig.loop.sleep(0.1)
+        assert rig.total() == seen  # nothing of the cut arrives late
+        rig.loop.sleep(2.5)  # the rest of the silent servers is over
+        assert rig.ask("POST", "/pay", b"{}").status == 200
+    Rig(tmp_path, test, [answers(), answers()])
+
+
+def test_datagrams_are_lost_doubled_and_reordered(tmp_path: Path) -> None:
+    def test(rig: Rig) -> None:
+        near, far = Datagrams(rig.loop, ("127.0.0.1", 0)), Datagrams(rig.loop, ("127.0.0.1", 0))
+        link = DatagramLink(rig.loop, far.address, Random(3), lose=0.2, twice=0.2)
+        for number in range(100):
+            near.send(b"%d" % number, link.address)
+            rig.loop.sleep(0.001)
+        rig.loop.sleep(0.05)
+        got = []
+        while (found := far.port.recvfrom(100)) is not None:
+            got.append(int(found[0]))
+        assert len(set(got)) < 100 < len(got) + 40 and len(got) > len(set(got)) and got != sorted(got)
+    Rig(tmp_path, test, [answers()])
--- /dev/null
+++ b/tests/standins/test_rehearsal.py
@@ -0,0 +1,56 @@
+"""The whole program through a short day: a well-behaved umpire passes, a broken one is found out."""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+ROOT = Path(__file__).parent.parent.parent
+DAY = """
+site {site}
+length 6s
+umpires 2
+boxes {{
+    count 6
+    boot 300ms
+    drain-for 500ms
+}}
+demand lookup share 60% work 40ms
+demand record share 25% work 60ms
+demand refund share 15% work 60ms
+traffic 40
+offer at 1s good speed 1
+trouble stall-box at 2s for 1500ms of 2
+trouble stall-box at 2500ms for 1500ms of 4
+trouble kill-box at 3500ms for 1s of 3
+"""
+
+
+def play(folder: Path, *fault: str) -> tuple[int, dict[str, Any]]:
+    day = folder / "day.conf"
+    day.write_text(DAY.format(site=ROOT / "days/bad-day/site.conf"))
+    command = [sys.executable, "-m", "stepsail", "rehearse", str(day), "--json", "--out", str(folder / "out")]
+    for word in [sys.executable, str(ROOT / "tests/broken_umpire.py"), *fault, "umpire"] if fault else []:
+        command += ["--umpire-command", word]
+    done = subprocess.run(command, capture_output=True, text=True, timeout=90,
+                          env=os.environ | {"PYTHONPATH": str(ROOT)})
+    assert done.returncode in (0, 1), done.stderr
+    return done.returncode, json.loads(done.stdout)
+
+
+def test_a_day_with_an_umpire_that_keeps_the_rules_ends_well(tmp_path: Path) -> None:
+    code, found = play(tmp_path)
+    assert (code, found["breaches"], found["umpires_that_left_badly"]) == (0, [], 0)
+    assert found["answers"]["handled"] > 150 and found["relays"] >= found["answers"]["handled"]
+
+
+@pytest.mark.parametrize(("fault", "rule"), [("exposure", "rule 5"), ("answers", "rule 1"), ("repeats", "rule 2")])
+def test_the_same_day_with_a_broken_umpire_fails(tmp_path: Path, fault: str, rule: str) -> None:
+    code, found = play(tmp_path, fault)
+    assert code == 1 and any(b.startswith(rule) for b in found["breaches"])
