--- a/bench/relay/measure.py
+++ b/bench/relay/measure.py
@@ -112,14 +112,15 @@
     """All sizes on one relay process."""
     port = free_address()[1]
     with contextlib.ExitStack() as stack:
-        if name == "umpire":
+        if name in ("umpire", "captured"):
             helper = subprocess.Popen([sys.executable, __file__, "--services", str(box)], stdout=subprocess.PIPE)
             stack.callback(helper.wait)
             stack.callback(helper.kill)
             assert helper.stdout
             conveyor, roster = helper.stdout.readline().split()
             file = folder / "umpire.conf"
-            file.write_text(SETTINGS.format(listen=port, conveyor=int(conveyor), roster=int(roster)))
+            more = f"capture kept-{port}\n" if name == "captured" else ""
+            file.write_text(SETTINGS.format(listen=port, conveyor=int(conveyor), roster=int(roster)) + more)
             relay = stack.enter_context(running("-m", "stepsail", "umpire", str(file)))
         else:
             relay = stack.enter_context(running(PARTS, name, str(port), str(box)))
@@ -135,10 +136,15 @@
             used = (cpu(relay.pid) - before) / (result["count"] * (seconds + 1) / seconds)
             found[size] = {"rate": result["rate"], "cpu_us": used * 1e6, "median_ms": result["median"] * 1e3,
                            "p99_ms": result["p99"] * 1e3, "mib": memory(relay.pid), "bad": result["bad"],
-                           "idle_cpu": idle}
+                           "idle_cpu": idle, "kept": _kept(folder / f"kept-{port}")}
         return found
 
 
+def _kept(folder: Path) -> float:
+    """Bytes of captures so far."""
+    return float(sum(f.stat().st_size for f in folder.glob("*.cap")))
+
+
 @click.command()
 @click.option("--rounds", default=3)
 @click.option("--seconds", default=5.0)
@@ -148,7 +154,7 @@
     if services_for:
         services(services_for)
         return
-    sizes, names = [10, 100, 1000], ["umpire", "loop", "gevent"]
+    sizes, names = [10, 100, 1000], ["umpire", "captured", "loop", "gevent"]
     box = free_address()[1]
     results: list[dict[str, dict[int, dict[str, float]]]] = []
     with running(PARTS, "box", str(box)), tempfile.TemporaryDirectory() as folder:
@@ -165,6 +171,7 @@
                         f"{median(m['cpu_us'] for m in mine):.0f} | {ratio:.2f} | "
                         f"{median(m['median_ms'] for m in mine):.2f} | {median(m['p99_ms'] for m in mine):.2f} | "
                         f"{median(m['mib'] for m in mine):.0f} | {sum(m['bad'] for m in mine):.0f} |")
+    captured = [r["captured"][100]["cpu_us"] / r["umpire"][100]["cpu_us"] for r in results]
     idle = ", ".join(f"{name} {median(r[name][10]['idle_cpu'] for r in results):.1%}" for name in names)
     text = "\n".join((
         f"{rounds} rounds of {seconds:g} s each, the three relays in turn, on {os.cpu_count()} cores, Python "
@@ -172,8 +179,9 @@
         "| open connections | relay | transactions a second | CPU a transaction, µs | CPU against `loop` | "
         "median ms | 99% ms | MiB | not 200 |", "| --- | --- | --- | --- | --- | --- | --- | --- | --- |", *rows, "",
         f"Idle CPU, of one core: {idle}.", "",
-        "`umpire` is the daemon; `loop` the same loop and parser with no module; `gevent` the same relay with the "
-        "same parser on gevent. Medians of the rounds; the ratio is taken within each round.", ""))
+        f"Capture adds {median(captured) - 1:.1%} CPU a transaction at 100 connections.", "",
+        "`umpire` is the daemon, `captured` the daemon with capture on; `loop` the same loop and parser with no "
+        "module; `gevent` the same relay with the same parser on gevent. Medians of the rounds; the ratio is taken within each round.", ""))
     click.echo(text)
     if table:
         table.write_text("# What one relay costs\n\n" + text)
--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -409,7 +409,7 @@
         self.vote_spread = max(0.0, charter.umpires / max(1.0, charter.votes_per_s) - BURST)
         self.build, self.stage, self.phase, self.cap = -1, 0, Phase.RELEASED, 0.0
         self.trial: Trial | None = None
-        self.beat_at, self.back_at, self.connects = inf, 0.0, Pace(0.0)
+        self.beat_at, self.back_at, self.connects, self.began = inf, 0.0, Pace(0.0), host.clock
         self.asking, self.informed = ASK_AGAIN[0], not charter.must_ask
         self.watch()
 
@@ -496,7 +496,9 @@
         told = (self.stage, self.cap) if build == self.build else (0, self.charter.caps[0])
         guarded = told[0] < self.charter.guarded_stages and transaction.product.repeat is not Repeat.REDOABLE
         start, (taken, sent) = self.host.clock - self.charter.window, self.allowance(transaction)
-        left = self.charter.free + told[1] * taken.since(start + SLIP) - sent.since(start - SLIP)
+        # Guards against a restart inside a window, whose free relays its forgotten life may have used.
+        free = self.charter.free * (start >= self.began)
+        left = free + told[1] * taken.since(start + SLIP) - sent.since(start - SLIP)
         held = self.trial is not None and self.host.clock < self.trial.hold_until
         return not (guarded or held) and told[1] > 0 and left >= 1
 
--- a/stepsail/charter/orders.py
+++ b/stepsail/charter/orders.py
@@ -53,6 +53,10 @@
     leave_within: float
     log_form: str
     log_level: str
+    capture: Path | None
+    capture_size: int
+    capture_segment: int
+    capture_age: float
 
 
 def _address(text: str) -> Address:
@@ -149,6 +153,7 @@
         votes_per_s=release["votes-per-second"], tenant_shares=tuple(t["share"] for t in tenants),
         tenant_quotas=tuple(t.get("quota", 0.0) for t in tenants))
     log = top.get("log", {})
+    kept = _filled(top.get("capture", {}), next(w.block for w in WORDS if w.name == "capture"))
     return Orders(
         charter, tuple(p["name"] for p in top["product"]), tuple(top["zones"]),
         tuple(t["name"] for t in tenants),
@@ -160,4 +165,5 @@
         top.get("seed"), servers["connections"], servers["connect-wait"], limits["answer-slack"],
         door["connections"], door["open"], door["head"], door["body"], door["idle"], door["slow-sender"],
         door["tenant-header"], door["subject-header"], top.get("leave-within", 15.0),
-        log.get("form", "json"), log.get("level", "info"))
+        log.get("form", "json"), log.get("level", "info"),
+        file.parent / kept["folder"] if "folder" in kept else None, kept["size"], kept["segment"], kept["age"])
--- a/stepsail/charter/words.py
+++ b/stepsail/charter/words.py
@@ -8,7 +8,8 @@
 from typing import Any
 
 SECONDS = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0}
-SIZES = {"": 1, "k": 1024, "K": 1024, "m": 1024**2, "M": 1024**2}
+SIZES = {"": 1, "k": 1024, "K": 1024, "m": 1024**2, "M": 1024**2, "g": 1024**3,
+         "G": 1024**3}
 
 
 def _duration(text: str) -> float:
@@ -32,7 +33,7 @@
 
 
 def _size(text: str) -> int:
-    found = re.fullmatch(r"(\d{1,9})([kKmM]?)", text)
+    found = re.fullmatch(r"(\d{1,9})([kKmMgG]?)", text)
     if not found:
         raise ValueError("a size in bytes, such as 16k or 1m")
     return int(found[1]) * SIZES[found[2]]
@@ -237,5 +238,13 @@
     Word("log", "Form (json, console) and least level of the log.", (
         arg("form", "text", enum=["json", "console"]),
         arg("level", "text", optional=True, enum=["debug", "info", "warning", "error"]))),
+    Word("capture", "Folder where all that this umpire is told and asks for is kept, as a ring of segments.", (
+        arg("folder", "text"),), (
+            Word("size", "Most bytes of the ring.", (arg("size", "size", minimum=1 << 16, maximum=1 << 40),),
+                 absent=256 << 20),
+            Word("segment", "Bytes of a segment, about; each begins with a snapshot.",
+                 (arg("size", "size", minimum=1 << 14, maximum=1 << 30),), absent=16 << 20),
+            Word("age", "Segments older than this leave the ring.", (arg("time", "time", **TIME),),
+                 absent=86400.0))),
     Word("leave-within", "After a stop signal, longest time to answer what is held.",
          (arg("time", "time", **TIME),), absent=15.0))
--- a/stepsail/cli/main.py
+++ b/stepsail/cli/main.py
@@ -21,7 +21,7 @@
 from stepsail.balance import Umpire
 from stepsail.charter import Faults, read_orders
 from stepsail.charter import reference as reference_page
-from stepsail.cli import logs
+from stepsail.cli import captures, logs
 from stepsail.loop import Loop, PollDriver
 from stepsail.standins.day import read_day
 from stepsail.standins.rehearsal import Rehearsal
@@ -40,6 +40,10 @@
     """A transaction router and release judge."""
 
 
+for command in (captures.capture, captures.replay_command, captures.explain):
+    main.add_command(command)
+
+
 def _tell_faults(faults: Faults) -> None:
     for fault in faults.faults:
         click.echo(str(fault), err=True)
--- a/stepsail/umpire/door.py
+++ b/stepsail/umpire/door.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import hashlib
 import math
+import os
 import re
-import zlib
 
 import msgspec
 
@@ -38,6 +39,7 @@
         self.tenant_header = orders.tenant_header.lower().encode()
         self.subject_header = orders.subject_header.lower().encode()
         self.idle: set[Stream] = set()
+        self.secret = os.urandom(16)
         routes = sorted(orders.routes, key=lambda r: -len(r.path))
         self.routes = [(r.method.encode(), r.path.encode(), r.product) for r in routes]
 
@@ -154,13 +156,18 @@
             held.close("denied")
         else:
             subject = request.header(self.subject_header)
-            key = 0 if subject is None else zlib.crc32(subject) << 32 | zlib.crc32(subject[::-1]) or 1
+            key = 0 if subject is None else self._hashed(subject)
             tenant = self.tenants.get(request.header(self.tenant_header) or b"", 0)
             self.host.take(held, product, tenant, key, request.header(REPEAT) is not None)
             if not self._await(inlet, held):
                 return False
         return self._answer(stream, request, held)
 
+    def _hashed(self, subject: bytes) -> int:
+        """What the module knows a subject by: equal for equal ones, and telling nothing without the secret."""
+        found = hashlib.blake2b(subject, digest_size=8, key=self.secret).digest()
+        return int.from_bytes(found, "big") or 1
+
     def _await(self, inlet: Inlet, held: Held) -> bool:
         """Wait for the final answer; False when the client is gone."""
         loop, forced_at = self.loop, (held.until + held.client_until) / 2  # time is left to write it
--- a/stepsail/umpire/life.py
+++ b/stepsail/umpire/life.py
@@ -5,7 +5,10 @@
 import os
 import signal
 from collections.abc import Sequence
+from typing import Any
 
+from stepsail.capture.seam import recording
+from stepsail.capture.writer import CaptureWriter, fingerprint
 from stepsail.charter import Orders
 from stepsail.interface import MakeUmpire, ServerHandle, Verdict
 from stepsail.loop import Event, Loop, Task
@@ -33,6 +36,14 @@
         self.roster = Roster(loop, orders, self.host, log, self.seed)
         self.neighbours = Neighbours(loop, orders, self.host)
         self.stopped = Event(loop)
+        self.capture: CaptureWriter | None = None
+        if orders.capture:
+            self.capture = CaptureWriter(orders.capture, orders.charter.me, fingerprint(make), self._capture_says,
+                                         orders.capture_segment, orders.capture_size, orders.capture_age)
+            self.make = recording(make, self.capture)
+
+    def _capture_says(self, event: str, **fields: Any) -> None:
+        self.log.warning(event, **fields)
 
     # what the module asks of its host's doers
     def relay(self, held: Held, server: ServerHandle, until: float) -> Task:
@@ -100,6 +111,8 @@
             task.cancel()
         if self.orders.roster_kept and self.roster.lines:
             self.roster.keep()
+        if self.capture:
+            self.capture.close()
         left = sum(not h.closed for h in self.host.held.values())
         self.log.info("left", taken=self.host.taken, unanswered=left, **self.host.counts)
         return 3 if scope.expired else 0
--- /dev/null
+++ b/tests/capture/test_day.py
@@ -0,0 +1,137 @@
+"""Troubles of a day, captured by real umpires on sockets and replayed: alone, in pairs, and in another process."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from itertools import combinations
+from pathlib import Path
+
+import pytest
+from rig import Rig, answers, hangs, hangs_up
+
+from stepsail import balance
+from stepsail.capture.folder import read_runs, replay_stretch
+from stepsail.http import encode_response
+
+ROOT = Path(__file__).parent.parent.parent
+KEEP = "capture kept {\n    segment 64k\n}"
+
+
+def busy(rig: Rig, count: int = 12) -> None:
+    """Some transactions of each product, side by side."""
+    tasks = [rig.loop.spawn(_ask, rig, ("GET", "/look") if at % 3 else ("POST", ("/pay", "/mark")[at % 2]))
+             for at in range(count)]
+    for task in tasks:
+        task.join()
+
+
+def _ask(rig: Rig, what: tuple[str, str]) -> None:
+    try:
+        rig.ask(*what, left=0.5, within=1.0)
+    except Exception:  # a client of a troubled umpire may get nothing: what counts here is the capture
+        return
+
+
+def killed_box(rig: Rig) -> None:
+    rig.boxes[0].listener.drop()
+
+
+def stalled_box(rig: Rig) -> None:
+    rig.boxes[1].script = hangs(0.6)
+
+
+def hanging_up(rig: Rig) -> None:
+    rig.boxes[2].script = hangs_up
+
+
+def drained_box(rig: Rig) -> None:
+    rig.boxes[2].state = "draining"
+
+
+def erring_box(rig: Rig) -> None:
+    rig.boxes[1].script = answers(500)
+
+
+def full_box(rig: Rig) -> None:
+    rig.boxes[0].script = answers(503, b"", ((b"stepsail-not-run", b"1"),))
+
+
+def stood_still(rig: Rig) -> None:
+    for _ in range(4):
+        rig.loop.spawn(_ask, rig, ("GET", "/look"))
+    rig.loop.sleep(0.01)
+    time.sleep(0.3)
+
+
+def bad_build(rig: Rig) -> None:
+    rig.state = {"build": 2, "stage": 0, "phase": "trial", "cap": 0.5, "age": 0.1}
+    rig.boxes[2].build = 2
+    rig.boxes[2].script = answers(500)
+    rig.loop.sleep(0.3)
+
+
+def silent_control(rig: Rig) -> None:
+    rig.conveyor.stalled = "errors"
+
+
+TROUBLES: list[Callable[[Rig], None]] = [killed_box, stalled_box, hanging_up, drained_box, erring_box, full_box,
+                                         stood_still, bad_build, silent_control]
+PAIRS = [(one,) for one in TROUBLES] + list(combinations(TROUBLES, 2))[::3]
+
+
+@pytest.mark.parametrize("troubles", PAIRS, ids=lambda ts: "+".join(t.__name__ for t in ts))
+def test_a_trouble_is_captured_and_replays_entry_for_entry(tmp_path: Path,
+                                                           troubles: tuple[Callable[[Rig], None], ...]) -> None:
+    def test(rig: Rig) -> None:
+        busy(rig, 6)
+        for trouble in troubles:
+            trouble(rig)
+        rig.loop.sleep(0.1)
+        busy(rig)
+        rig.daemon.stop()
+        rig.life.join(3.0)
+    quick: Callable[..., bytes] = lambda *_: encode_response(200, [], b"ok")  # noqa: E731
+    Rig(tmp_path, test, [quick, quick, quick], KEEP + "\nleave-within 1s")
+    runs, damaged = read_runs(tmp_path / "kept")
+    assert damaged == [] and len(runs) == 1
+    (stretch,) = runs[0].stretches()
+    found = replay_stretch(stretch, balance)
+    assert found.first is None and found.kinds["take"] >= 18 and found.kinds["ended"] >= 10
+
+
+def test_a_replay_in_another_process_under_another_hash_seed_is_the_same(tmp_path: Path) -> None:
+    def test(rig: Rig) -> None:
+        bad_build(rig)
+        busy(rig, 30)
+        rig.daemon.stop()
+        rig.life.join(2.0)
+    Rig(tmp_path, test, [answers(), answers(), answers()], KEEP)
+    for seed in ("0", "1", "4711"):
+        done = subprocess.run([sys.executable, "-m", "stepsail", "replay", str(tmp_path / "kept")],
+                              capture_output=True, text=True, cwd=ROOT, env=os.environ | {"PYTHONHASHSEED": seed})
+        assert done.returncode == 0 and " 0 differ" in done.stdout, done.stdout + done.stderr
+
+
+def test_a_kill_in_mid_capture_leaves_what_replays(tmp_path: Path) -> None:
+    """The process ends between two writes of a block: nothing was closed, and the tail is torn."""
+    def test(rig: Rig) -> None:
+        busy(rig, 20)
+        rig.loop.sleep(1.2)
+        busy(rig, 10)
+        assert rig.daemon.capture
+        until = time.monotonic() + 3
+        while rig.daemon.capture.written < 2000 and time.monotonic() < until:
+            rig.loop.sleep(0.01)
+    Rig(tmp_path, test, [answers(), answers()], KEEP)
+    (file,) = (tmp_path / "kept").glob("*.cap")
+    data = file.read_bytes()
+    for lost in (1, 30, 100):
+        file.write_bytes(data[:-lost])
+        runs, damaged = read_runs(tmp_path / "kept")
+        assert damaged == []
+        for stretch in runs[0].stretches():
+            assert not stretch[0].sealed and replay_stretch(stretch, balance).first is None
--- /dev/null
+++ b/tests/capture/test_format.py
@@ -0,0 +1,342 @@
+"""Captures as files: crashes at every byte, flipped bits, older formats, the ring, a disk that fails or is slow."""
+
+from __future__ import annotations
+
+import os
+import stat
+import struct
+import time
+from itertools import count, pairwise
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from helpers import Desk, charter
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from stepsail import balance
+from stepsail.capture import CaptureWriter, Damaged, read_segment, recording, replay
+from stepsail.capture.blocks import LENGTH, TITLE, Kind, block
+from stepsail.capture.entries import ENCODER, Entry, Told
+from stepsail.capture.folder import cut, read_runs, replay_stretch, write_segment
+from stepsail.capture.replay import CannotReplay
+from stepsail.interface import Outcome, Phase, Verdict
+
+META: dict[str, Any] = {
+    "format": 2, "run": "abc", "segment": 0, "umpire": 0, "seed": 7, "charter": msgspec.to_builtins(charter()),
+    "module": "", "first": 0, "clock": 100.0, "gap": None, "wall": 0.0, "python": ""}
+
+
+class RecordedDesk(Desk):
+    """A desk whose umpire is recorded."""
+
+    def __init__(self, sink: Any, seed: int = 7, **changed: Any) -> None:
+        self.sink, self.numbers = sink, count()
+        super().__init__(seed=seed, **changed)
+
+    def number(self) -> int:
+        return next(self.numbers)
+
+    def make(self, *args: Any) -> Any:
+        return recording(balance.Umpire, self.sink)(*args)
+
+
+def told_some(desk: Any, rounds: int = 30) -> None:
+    """A little history with every kind of thing in it."""
+    desk.news(2, 0, Phase.TRIAL, 0.3)
+    for at in range(rounds):
+        transaction = desk.take(at % 3)
+        desk.wait(0.05)
+        if desk.relays and at % 5:
+            outcome = list(Outcome)[at % 6]
+            number = len([r for r in desk.relays if r[0].number == transaction.number]) - 1
+            if number >= 0 and not transaction.finished:
+                transaction.relay_ended(number, outcome, outcome == 0, 0.05, ())
+        if at % 7 == 3:
+            desk.roster((1, 1, 2), start=desk.clock)
+            desk.umpire.tallied(1, 0, 10, 1, 0.1, 1.0)
+    desk.wait(1.0)
+
+
+def recorded(folder: Path, rounds: int = 30, **how: Any) -> CaptureWriter:
+    writer = CaptureWriter(folder, 0, "m", lambda event, **fields: None, **how)
+    desk = RecordedDesk(writer)
+    told_some(desk, rounds)
+    writer.close()
+    return writer
+
+
+def segment_bytes(folder: Path) -> tuple[Path, bytes]:
+    recorded(folder)
+    file = next(folder.glob("*.cap"))
+    return file, file.read_bytes()
+
+
+def test_a_run_is_written_read_and_replayed_without_a_difference(tmp_path: Path) -> None:
+    file, _ = segment_bytes(tmp_path)
+    assert stat.S_IMODE(file.stat().st_mode) == 0o600
+    segment = read_segment(file)
+    assert segment.sealed and segment.torn_at is None and segment.state() is None
+    found = replay_stretch([segment], balance)
+    assert found.first is None and found.entries == segment.count() > 60
+
+
+def test_a_file_cut_at_every_byte_keeps_what_was_whole_and_is_never_taken_for_more(tmp_path: Path) -> None:
+    file, data = segment_bytes(tmp_path)
+    whole = read_segment(file)
+    numbered = [b for b in whole.blocks if b.kind == Kind.ENTRIES]
+    edges = [b.first for b in numbered] + [whole.count()]
+    counts = {b.offset: end - b.first for b, end in zip(numbered, edges[1:], strict=True)}
+    for at in range(len(data)):
+        file.write_bytes(data[:at])
+        found = read_segment(file)
+        assert not found.sealed
+        blocks = [b for b in whole.blocks if b.end <= at]
+        assert found.blocks == blocks
+        assert found.torn_at == (None if at in [b.end for b in blocks] else (blocks[-1].end if blocks else
+                                                                             found.torn_at))
+        assert len(list(found.entries())) == sum(counts[b.offset] for b in blocks if b.kind == Kind.ENTRIES)
+
+
+def test_one_flipped_bit_anywhere_is_found_and_named(tmp_path: Path) -> None:
+    file, data = segment_bytes(tmp_path)
+    for at in range(0, len(data)):
+        changed = bytearray(data)
+        changed[at] ^= 1 << (at % 8)
+        file.write_bytes(changed)
+        with pytest.raises(Damaged) as found:
+            read_segment(file)
+        assert found.value.offset <= at and str(found.value.offset) in str(found.value)
+
+
+def test_space_that_was_never_written_is_a_torn_tail(tmp_path: Path) -> None:
+    file, data = segment_bytes(tmp_path)
+    end = read_segment(file).blocks[-1]
+    file.write_bytes(data[:end.offset] + bytes(4096))
+    found = read_segment(file)
+    assert found.torn_at == end.offset and found.count() > 60
+    file.write_bytes(data + b"more")
+    with pytest.raises(Damaged, match="begins no block"):
+        read_segment(file)
+
+
+def test_a_capture_by_format_1_is_read_and_a_newer_one_refused(tmp_path: Path) -> None:
+    file, _ = segment_bytes(tmp_path)
+    segment = read_segment(file)
+    payload = b""
+    for _, entry in segment.entries():
+        data = ENCODER.encode(tuple(entry)[:4])
+        payload += LENGTH.pack(len(data)) + data
+    old = tmp_path / "old.cap"
+    old.write_bytes(TITLE % 1 + block(Kind.META, msgspec.msgpack.encode(META), 0, 100.0)
+                    + block(Kind.ENTRIES, payload, 0, 100.0))
+    found = read_segment(old)
+    assert [e for _, e in found.entries()] == [e for _, e in segment.entries()]
+    assert replay_stretch([found], balance).first is None
+    old.write_bytes(TITLE % 99)
+    with pytest.raises(Damaged, match="format 99 is newer"):
+        read_segment(old)
+    old.write_bytes(b"something else\n" + bytes(100))
+    with pytest.raises(Damaged, match="no capture"):
+        read_segment(old)
+
+
+def test_segments_begin_with_snapshots_and_a_ring_that_lost_its_beginning_still_replays(tmp_path: Path) -> None:
+    recorded(tmp_path, rounds=400, segment=2000, most=12000)
+    runs, damaged = read_runs(tmp_path)
+    assert damaged == [] and len(runs) == 1
+    (stretch,) = runs[0].stretches()
+    assert int(stretch[0].meta["segment"]) > 0 and stretch[0].state() is not None
+    found = replay_stretch(stretch, balance)
+    assert found.first is None and found.entries > 50
+    assert sum(f.stat().st_size for f in tmp_path.glob("*.cap")) < 20000
+
+
+def test_the_replayed_state_is_the_snapshots_to_the_last_bit(tmp_path: Path) -> None:
+    recorded(tmp_path, rounds=400, segment=1000)
+    (stretch,) = read_runs(tmp_path)[0][0].stretches()
+    assert len(stretch) > 3
+    for segment, later in pairwise(stretch):
+        found = replay_stretch([segment], balance)
+        assert found.first is None and found.stage and found.stage.frozen() == later.state()
+
+
+def test_a_full_disk_drops_a_stretch_says_so_and_goes_on(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    told: list[str] = []
+    writer = CaptureWriter(tmp_path, 0, "m", lambda event, **fields: told.append(event))
+    desk = RecordedDesk(writer)
+    told_some(desk)
+    until = time.monotonic() + 5
+    while writer.written < 1000 and time.monotonic() < until:
+        time.sleep(0.01)
+    full = True
+    real = os.write
+
+    def no_space(fd: int, data: Any) -> int:
+        if full:
+            raise OSError(28, "No space left on device")
+        return real(fd, data)
+    monkeypatch.setattr("stepsail.capture.writer.os.write", no_space)
+    monkeypatch.setattr("stepsail.capture.writer.RETRY", 0.05)
+    told_some(desk)
+    until = time.monotonic() + 5
+    while "capture_failed" not in told and time.monotonic() < until:
+        time.sleep(0.01)
+    told_some(desk, 5)
+    full = False
+    time.sleep(0.1)
+    told_some(desk)
+    writer.close()
+    assert told[:2] == ["capture_failed", "capture_drops"] and "capture_goes_on" in told
+    runs, damaged = read_runs(tmp_path)
+    stretches = list(runs[0].stretches())
+    assert damaged == [] and len(stretches) == 2
+    gap = stretches[1][0].meta["gap"]
+    assert gap["lost"] > 0 and gap["why"] == "the disk failed"
+    for stretch in stretches:
+        assert replay_stretch(stretch, balance).first is None
+
+
+def test_a_slow_disk_never_holds_up_the_umpire(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    told: list[str] = []
+    monkeypatch.setattr("stepsail.capture.writer.BLOCK", 200)
+    real = os.write
+
+    def slow(fd: int, data: Any) -> int:
+        time.sleep(0.05)
+        return real(fd, data)
+    monkeypatch.setattr("stepsail.capture.writer.os.write", slow)
+    writer = CaptureWriter(tmp_path, 0, "m", lambda event, **fields: told.append(event))
+    desk = RecordedDesk(writer)
+    start = time.monotonic()
+    told_some(desk, 200)
+    assert time.monotonic() - start < 2.0 and "capture_drops" in told
+    writer.close(10.0)
+    for run in read_runs(tmp_path)[0]:
+        for stretch in run.stretches():
+            assert replay_stretch(stretch, balance).first is None
+
+
+def test_a_missing_segment_is_not_crossed(tmp_path: Path) -> None:
+    recorded(tmp_path, rounds=400, segment=4000)
+    files = sorted(tmp_path.glob("*.cap"))
+    middle = read_segment(files[1])
+    files[1].unlink()
+    stretches = list(read_runs(tmp_path)[0][0].stretches())
+    assert len(stretches) == 2 and all(replay_stretch(s, balance).first is None for s in stretches)
+    numbered = list(read_segment(files[0]).entries())
+    with pytest.raises(CannotReplay, match="missing"):
+        replay(middle.meta, None, [numbered[0], *numbered[2:]], balance)
+    with pytest.raises(CannotReplay, match="neither a start nor a snapshot"):
+        replay(middle.meta, None, numbered[1:], balance)
+
+
+def test_a_cut_piece_replays_by_itself(tmp_path: Path) -> None:
+    recorded(tmp_path, rounds=100)
+    (stretch,) = read_runs(tmp_path)[0][0].stretches()
+    piece = tmp_path / "piece.cap"
+    count = cut(stretch, balance, 102.0, 103.0, piece)
+    found = replay_stretch([read_segment(piece)], balance)
+    assert found.first is None and found.entries == count > 10
+
+
+def test_another_text_of_the_module_is_told_from_the_true_one(tmp_path: Path) -> None:
+    from types import ModuleType
+    recorded(tmp_path, rounds=100)
+    (stretch,) = read_runs(tmp_path)[0][0].stretches()
+    source = Path(balance.__file__).read_text().replace("BEAT, LOOK, SLIP = 0.05, 0.2,",
+                                                        "BEAT, LOOK, SLIP = 0.05, 0.21,")
+    other = ModuleType("other")
+    exec(compile(source, "other.py", "exec"), other.__dict__)
+    found = replay_stretch(stretch, other)
+    assert found.first is not None and found.differing == 1
+    lines = "\n".join(found.first.lines([]))
+    assert "as captured:" in lines and "as replayed:" in lines
+    assert replay_stretch(stretch, other, go_on=True).differing >= 1
+
+
+def test_a_module_that_raises_is_captured_and_raises_again(tmp_path: Path) -> None:
+    writer = CaptureWriter(tmp_path, 0, "m", lambda event, **fields: None)
+    desk = RecordedDesk(writer)
+    transaction = desk.take()
+    with pytest.raises(IndexError):
+        transaction.relay_ended(9, Outcome.HANDLED, True, 0.1, ())
+    writer.close()
+    (stretch,) = read_runs(tmp_path)[0][0].stretches()
+    last = list(stretch[-1].entries())[-1][1]
+    assert last.raised.startswith("IndexError") and replay_stretch(stretch, balance).first is None
+
+
+def test_two_umpires_in_one_process_write_two_runs(tmp_path: Path) -> None:
+    writers = [CaptureWriter(tmp_path, n, "m", lambda event, **fields: None) for n in (0, 1)]
+    desks = [RecordedDesk(w, seed=n) for n, w in enumerate(writers)]
+    for desk in desks:
+        told_some(desk)
+    for writer in writers:
+        writer.close()
+    runs, _ = read_runs(tmp_path)
+    assert sorted(r.umpire for r in runs) == [0, 1]
+    assert all(replay_stretch(s, balance).first is None for r in runs for s in r.stretches())
+
+
+steps = st.lists(st.tuples(
+    st.sampled_from(["take", "end", "wait", "left", "news", "list", "counts", "contest", "probe", "say", "pause"]),
+    st.integers(0, 8), st.integers(0, 8)), min_size=5, max_size=60)
+
+
+@settings(max_examples=60, derandomize=True, deadline=None)
+@given(steps, st.integers(0, 10**9), st.booleans())
+def test_random_histories_crash_at_a_random_byte_and_what_is_left_replays(
+        tmp_path_factory: pytest.TempPathFactory, history: list[tuple[str, int, int]], at: int, share: bool) -> None:
+    folder = tmp_path_factory.mktemp("capture")
+    writer = CaptureWriter(folder, 0, "m", lambda event, **fields: None, segment=500)
+    desk = RecordedDesk(writer, neighbours=share, builds=(1, 1, 2, 2))
+    taken: list[Any] = []
+    for what, a, b in history:
+        if what == "take":
+            taken.append(desk.take(a % 3, 0.2 + b))
+        elif what == "end" and taken:
+            one = taken[a % len(taken)]
+            waiting = [n for n, r in enumerate(one.real.relays) if not r.ended]
+            if waiting:
+                one.relay_ended(waiting[0], Outcome(b % 8), b % 8 == 0, a / 10, ())
+        elif what == "wait":
+            desk.wait(a * 0.11 + b * 0.01)
+        elif what == "pause":
+            desk.clock += a  # stood still: all that was due comes at once
+            desk.wait(0.0)
+        elif what == "left" and taken:
+            taken[a % len(taken)].client_left()
+        elif what == "news":
+            desk.news(1 + a % 3, b % 2, Phase(a % 4), 0.2)
+        elif what == "list":
+            desk.roster((1, 1, 2, 2), desk.clock if a % 2 else 0.0, state=b % 2)
+        elif what == "counts":
+            desk.umpire.tallied(1 + a % 3, b % 3, 10, a, 0.1, 1.0)
+        elif what == "contest":
+            desk.servers[a % 4].contested(b % 3, 1.0)
+        elif what == "probe":
+            desk.servers[a % 4].probed(0.01, Outcome(b % 8), ())
+        elif what == "say":
+            desk.umpire.neighbour_saw(desk.servers[a % 4], 1 + b % 2, b % 3, a)
+            desk.umpire.neighbour_found(1 + a % 2, 2, 0, Verdict(b % 4))
+    writer.close()
+    files = sorted(folder.glob("*.cap"))
+    torn = files[-1]
+    data = torn.read_bytes()
+    torn.write_bytes(data[:at % (len(data) + 1)])
+    runs, damaged = read_runs(folder)
+    assert damaged == []
+    for run in runs:
+        for stretch in run.stretches():
+            found = replay_stretch(stretch, balance)
+            assert found.first is None
+
+
+def test_numbers_in_files_are_never_used_for_something_else() -> None:
+    """The format's numbers; a change here makes old captures lie."""
+    assert [t.value for t in Told] == list(range(1, 17))
+    assert struct.calcsize("<4sB3xIQdQ") == 36
+    assert write_segment.__doc__ and Entry._fields == ("kind", "clock", "values", "asked", "raised")
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -40,10 +40,17 @@
         self.timers_set = 0
         self.spoken: list[tuple[int, list[Any]]] = []
         self.found: list[tuple[int, int, Verdict]] = []
-        self.umpire = Umpire(charter(**changed), self, seed)
+        self.umpire: Umpire = self.make(charter(**changed), self, seed)
         self.servers = [self.umpire.meet(bytes([i])) for i in range(len(builds))]
         self.roster(builds, start)
 
+    def number(self) -> int:
+        return len(self.relays)
+
+    def make(self, *args: Any) -> Any:
+        """The umpire at this desk; a test may put something between."""
+        return Umpire(*args)
+
     def roster(self, builds: tuple[int, ...], start: float = 0.0, state: int = 1) -> None:
         for at, (server, build) in enumerate(zip(self.servers, builds, strict=True)):
             server.listed(at % 2, at, build, state, start, 1.0)
@@ -53,7 +60,7 @@
         self.umpire.release_news(0.0, cap, build, stage, phase)
 
     def take(self, product: int = 0, lasts: float = 3.0) -> Transaction:
-        return self.umpire.take(len(self.relays), product, 0, None, self.clock + lasts, 0, False)
+        return self.umpire.take(self.number(), product, 0, None, self.clock + lasts, 0, False)
 
     def wait(self, seconds: float) -> None:
         end = self.clock + seconds
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -354,3 +354,19 @@
     desk.servers[7].listed(0, 7, 2, 1, 0.0, 1.0)
     desk.umpire.roster_read(False, False)
     assert trial.settled()
+
+
+def test_a_restart_inside_a_window_gives_no_free_relays_anew() -> None:
+    """What the umpire's forgotten life sent, and this one sends, together stay within the cap."""
+    desk = Desk(builds=(1, 2), free=2.0, window=3.0, guarded_stages=0)
+    desk.news(2, 0, Phase.TRIAL, 0.1)
+    for _ in range(9):
+        desk.take()
+    assert all(server.build == 1 for _, server, _, _ in desk.relays)
+    desk.wait(3.5)
+    desk.servers[0].state = desk.servers[1].state  # both still ready
+    for _ in range(9):
+        desk.take()
+        desk.wait(0.01)
+    fresh = [at for _, server, at, _ in desk.relays if server.build == 2]
+    assert 1 <= len(fresh) <= 2 and min(fresh) >= 103.0
