--- a/bench/relay/measure.py
+++ b/bench/relay/measure.py
@@ -181,7 +181,8 @@
         f"Idle CPU, of one core: {idle}.", "",
         f"Capture adds {median(captured) - 1:.1%} CPU a transaction at 100 connections.", "",
         "`umpire` is the daemon, `captured` the daemon with capture on; `loop` the same loop and parser with no "
-        "module; `gevent` the same relay with the same parser on gevent. Medians of the rounds; the ratio is taken within each round.", ""))
+        "module; `gevent` the same relay with the same parser on gevent. Medians of the rounds; the ratio is "
+        "taken within each round.", ""))
     click.echo(text)
     if table:
         table.write_text("# What one relay costs\n\n" + text)
--- a/bench/replay_days.py
+++ b/bench/replay_days.py
@@ -106,7 +106,8 @@
         f"{total['seconds'] / max(1e-9, total['took']):.0f} times real time for one umpire at "
         f"{total['taken'] / max(1e-9, total['seconds']):.0f} transactions a second.", "",
         "A module with one constant changed, replayed on the captures of the first rehearsals:", "",
-        "| constant | changed to | told apart on | first entry that differs |", "| --- | --- | --- | --- |", *rows, ""))
+        "| constant | changed to | told apart on | first entry that differs |", "| --- | --- | --- | --- |",
+        *rows, ""))
     click.echo(text)
     if table:
         table.write_text("# Replaying captures\n\n" + text)
