--- a/stepsail/cli/captures.py
+++ b/stepsail/cli/captures.py
@@ -214,3 +214,22 @@
     if not seen:
         click.echo("nothing found", err=True)
         sys.exit(BAD)
+
+
+@click.command()
+@click.argument("path", type=PATH)
+@click.option("--run", "name", help="Which run, where there are several.")
+def view(path: Path, name: str | None) -> None:
+    """Walk through a capture in the terminal, forward and back."""
+    from stepsail.view.app import CaptureApp  # textual takes a moment to load; the other commands do without
+    from stepsail.view.track import Track
+
+    runs = [r for r in _runs(path)[0] if name in (None, r.name)]
+    if not runs:
+        raise click.UsageError("no such run there")
+    stretch = next(runs[0].stretches())
+    try:
+        CaptureApp(Track(stretch, balance), f"umpire {runs[0].umpire}, run {runs[0].name}").run()
+    except (CannotReplay, NoState, Damaged) as trouble:
+        click.echo(str(trouble), err=True)
+        sys.exit(BAD)
--- a/stepsail/cli/main.py
+++ b/stepsail/cli/main.py
@@ -40,7 +40,7 @@
     """A transaction router and release judge."""
 
 
-for command in (captures.capture, captures.replay_command, captures.explain):
+for command in (captures.capture, captures.replay_command, captures.explain, captures.view):
     main.add_command(command)
 
 
--- /dev/null
+++ b/stepsail/view/track.py
@@ -0,0 +1,100 @@
+"""A capture that can be walked in both directions: replay forward, and from kept states back. No terminal."""
+
+from __future__ import annotations
+
+from types import ModuleType
+
+from stepsail.capture.blocks import Segment
+from stepsail.capture.entries import Asked, Entry, Told, shown
+from stepsail.capture.explain import Row, room, servers_seen, trial
+from stepsail.capture.folder import entries_of
+from stepsail.capture.replay import CannotReplay, Stage, charter_of
+
+KEEP_EVERY = 500  # entries between kept states: a step back replays at most so many
+MOST_KEPT = 200  # states kept; beyond that every second one goes
+DECISIONS = (Asked.RELAY, Asked.DENY, Asked.ERROR, Asked.WITHDRAW, Asked.VOTE)
+
+
+class Track:
+    """`at` is the entry that comes next; `stage` the module as it stood before it."""
+
+    def __init__(self, stretch: list[Segment], module: ModuleType) -> None:
+        self.module = module
+        self.entries: list[Entry] = [e for _, e in entries_of(stretch)]
+        if not self.entries:
+            raise CannotReplay("the capture holds no entries")
+        self.first = int(stretch[0].meta["first"])
+        self.charter, self.state = charter_of(stretch[0].meta), stretch[0].state()
+        if self.state is None and self.entries[0].kind != Told.BEGIN:
+            raise CannotReplay("neither a start nor a snapshot stands at its beginning")
+        self.kept: dict[int, bytes] = {}
+        self.every = KEEP_EVERY
+        self.differs: set[int] = set()
+        self._anew()
+
+    def _anew(self) -> None:
+        self.at, self.stage = 0, Stage(self.module, self.charter)
+        if self.state is not None:
+            self.stage.set_up(self.state)
+
+    def go(self, to: int) -> None:
+        """Stand before an entry, counted from the capture's first."""
+        to = max(0, min(len(self.entries), to))
+        if to < self.at:
+            earlier = max((k for k in self.kept if k <= to), default=None)
+            if earlier is None:
+                self._anew()
+            else:
+                self.at, self.stage = earlier, Stage(self.module, self.charter)
+                self.stage.set_up(self.kept[earlier])
+        while self.at < to:
+            if self.at and self.at % self.every == 0 and self.at not in self.kept and self.stage.umpire is not None:
+                self._keep()
+            entry = self.entries[self.at]
+            asked, raised = self.stage.feed(entry)
+            if (list(map(list, asked)), raised) != (list(map(list, entry.asked)), entry.raised):
+                self.differs.add(self.at)
+            self.at += 1
+
+    def _keep(self) -> None:
+        self.kept[self.at] = self.stage.frozen()
+        if len(self.kept) > MOST_KEPT:
+            self.every *= 2
+            self.kept = {k: v for k, v in self.kept.items() if k % self.every == 0}
+
+    def next_decision(self, forward: bool = True) -> int:
+        """The nearest entry in which the module decided on a transaction or a vote; the end if there is none."""
+        numbers = range(self.at + 1, len(self.entries)) if forward else range(self.at - 1, -1, -1)
+        wanted = [int(kind) for kind in DECISIONS]
+        return next((n for n in numbers if any(a[0] in wanted for a in self.entries[n].asked)),
+                    len(self.entries) - 1 if forward else 0)
+
+    # -- what to show ------------------------------------------------------------------------------------
+
+    def clock(self) -> float:
+        return self.entries[min(self.at, len(self.entries) - 1)].clock
+
+    def names(self) -> list[str]:
+        return [s.address.decode("latin-1") for s in self.stage.servers]
+
+    def line(self, number: int) -> str:
+        """One entry in one line, with how much it led to."""
+        entry = self.entries[number]
+        text = shown(entry, self.names())[0]
+        asked = [Asked(a[0]).name.lower() for a in entry.asked if a[0] != Asked.WAKE]
+        mark = "!" if number in self.differs else " "
+        return f"{mark}{self.first + number:>7} {text}" + (f"  -> {', '.join(asked)}" if asked else "")
+
+    def detail(self) -> list[str]:
+        """The entry that comes next, in full."""
+        return shown(self.entries[self.at], self.names()) if self.at < len(self.entries) else ["the end"]
+
+    def servers(self) -> list[Row]:
+        self.stage.clock = self.clock()
+        return servers_seen(self.stage) if self.stage.umpire is not None else []
+
+    def evidence(self) -> list[str]:
+        if self.stage.umpire is None:
+            return ["not begun"]
+        self.stage.clock = self.clock()
+        return [*room(self.stage), *trial(self.stage, self.module)]
--- a/tests/capture/test_format.py
+++ b/tests/capture/test_format.py
@@ -6,18 +6,19 @@
 import stat
 import struct
 import time
-from itertools import count, pairwise
+from itertools import pairwise
 from pathlib import Path
 from typing import Any
 
 import msgspec
 import pytest
-from helpers import Desk, charter
+from helpers import charter
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from recorded import RecordedDesk, recorded, told_some
 
 from stepsail import balance
-from stepsail.capture import CaptureWriter, Damaged, read_segment, recording, replay
+from stepsail.capture import CaptureWriter, Damaged, read_segment, replay
 from stepsail.capture.blocks import LENGTH, TITLE, Kind, block
 from stepsail.capture.entries import ENCODER, Entry, Told
 from stepsail.capture.folder import cut, read_runs, replay_stretch, write_segment
@@ -29,45 +30,6 @@
     "module": "", "first": 0, "clock": 100.0, "gap": None, "wall": 0.0, "python": ""}
 
 
-class RecordedDesk(Desk):
-    """A desk whose umpire is recorded."""
-
-    def __init__(self, sink: Any, seed: int = 7, **changed: Any) -> None:
-        self.sink, self.numbers = sink, count()
-        super().__init__(seed=seed, **changed)
-
-    def number(self) -> int:
-        return next(self.numbers)
-
-    def make(self, *args: Any) -> Any:
-        return recording(balance.Umpire, self.sink)(*args)
-
-
-def told_some(desk: Any, rounds: int = 30) -> None:
-    """A little history with every kind of thing in it."""
-    desk.news(2, 0, Phase.TRIAL, 0.3)
-    for at in range(rounds):
-        transaction = desk.take(at % 3)
-        desk.wait(0.05)
-        if desk.relays and at % 5:
-            outcome = list(Outcome)[at % 6]
-            number = len([r for r in desk.relays if r[0].number == transaction.number]) - 1
-            if number >= 0 and not transaction.finished:
-                transaction.relay_ended(number, outcome, outcome == 0, 0.05, ())
-        if at % 7 == 3:
-            desk.roster((1, 1, 2), start=desk.clock)
-            desk.umpire.tallied(1, 0, 10, 1, 0.1, 1.0)
-    desk.wait(1.0)
-
-
-def recorded(folder: Path, rounds: int = 30, **how: Any) -> CaptureWriter:
-    writer = CaptureWriter(folder, 0, "m", lambda event, **fields: None, **how)
-    desk = RecordedDesk(writer)
-    told_some(desk, rounds)
-    writer.close()
-    return writer
-
-
 def segment_bytes(folder: Path) -> tuple[Path, bytes]:
     recorded(folder)
     file = next(folder.glob("*.cap"))
--- /dev/null
+++ b/tests/recorded.py
@@ -0,0 +1,52 @@
+"""A desk whose umpire is recorded, and a little history with every kind of thing in it."""
+
+from __future__ import annotations
+
+from itertools import count
+from pathlib import Path
+from typing import Any
+
+from helpers import Desk
+
+from stepsail import balance
+from stepsail.capture import CaptureWriter, recording
+from stepsail.interface import Outcome, Phase
+
+
+class RecordedDesk(Desk):
+    """A desk whose umpire is recorded."""
+
+    def __init__(self, sink: Any, seed: int = 7, **changed: Any) -> None:
+        self.sink, self.numbers = sink, count()
+        super().__init__(seed=seed, **changed)
+
+    def number(self) -> int:
+        return next(self.numbers)
+
+    def make(self, *args: Any) -> Any:
+        return recording(balance.Umpire, self.sink)(*args)
+
+
+def told_some(desk: Any, rounds: int = 30) -> None:
+    """A little history with every kind of thing in it."""
+    desk.news(2, 0, Phase.TRIAL, 0.3)
+    for at in range(rounds):
+        transaction = desk.take(at % 3)
+        desk.wait(0.05)
+        if desk.relays and at % 5:
+            outcome = list(Outcome)[at % 6]
+            number = len([r for r in desk.relays if r[0].number == transaction.number]) - 1
+            if number >= 0 and not transaction.finished:
+                transaction.relay_ended(number, outcome, outcome == 0, 0.05, ())
+        if at % 7 == 3:
+            desk.roster((1, 1, 2), start=desk.clock)
+            desk.umpire.tallied(1, 0, 10, 1, 0.1, 1.0)
+    desk.wait(1.0)
+
+
+def recorded(folder: Path, rounds: int = 30, **how: Any) -> CaptureWriter:
+    writer = CaptureWriter(folder, 0, "m", lambda event, **fields: None, **how)
+    desk = RecordedDesk(writer)
+    told_some(desk, rounds)
+    writer.close()
+    return writer
