Large bodies pass as they come, both ways, with back-pressure

Need: exports and uploads larger than what an umpire may hold had to be refused. Change: bodies over 'door hold' flow between client and server with at most four parts waiting; a body that has begun to leave goes to no second server; an answer that breaks off resets the client. The adapter captures its instances when STEPSAIL_CAPTURE is set. Result: 10 tests of flows: 3 MiB whole both ways on kept connections, a client that never reads holds at most five parts, a broken answer is never whole. Replies of the adapter with capture are the same to the byte.

--- a/stepsail/adapter/__main__.py
+++ b/stepsail/adapter/__main__.py
@@ -1,9 +1,33 @@
-"""Run the decision module on the wire of standard input and output."""
+"""Run the decision module on the wire of standard input and output.
 
+With STEPSAIL_CAPTURE set to a folder, each instance is captured there; the replies are the same to the byte.
+"""
+
+import atexit
+import os
 import sys
+from pathlib import Path
 
 from stepsail.adapter.host import serve
 from stepsail.balance import Umpire
+from stepsail.interface import Charter, Host, MakeUmpire, UmpireHandle
+
+
+def captured(folder: Path) -> MakeUmpire:
+    """A maker of umpires that writes a run for each instance it makes."""
+    from stepsail.capture.seam import recording
+    from stepsail.capture.writer import CaptureWriter, fingerprint
+
+    def report(event: str, **fields: object) -> None:
+        print(event, fields, file=sys.stderr)
+
+    def make(charter: Charter, host: Host, seed: int) -> UmpireHandle:
+        writer = CaptureWriter(folder, charter.me, fingerprint(Umpire), report)
+        atexit.register(writer.close)
+        return recording(Umpire, writer)(charter, host, seed)
+    return make
+
 
 if __name__ == "__main__":
-    sys.exit(serve(Umpire, sys.stdin.buffer, sys.stdout.buffer))
+    folder = os.environ.get("STEPSAIL_CAPTURE")
+    sys.exit(serve(captured(Path(folder)) if folder else Umpire, sys.stdin.buffer, sys.stdout.buffer))
--- a/stepsail/charter/orders.py
+++ b/stepsail/charter/orders.py
@@ -46,6 +46,7 @@
     most_open: int
     most_head: int
     most_body: int
+    hold: int
     door_idle: float
     slow_sender: float
     tenant_header: str
@@ -163,7 +164,8 @@
         _address(hears["address"]) if hears else None,
         {n["number"]: _address(n["address"]) for n in hears.get("neighbour", [])},
         top.get("seed"), servers["connections"], servers["connect-wait"], limits["answer-slack"],
-        door["connections"], door["open"], door["head"], door["body"], door["idle"], door["slow-sender"],
+        door["connections"], door["open"], door["head"], door["body"], door["hold"], door["idle"],
+        door["slow-sender"],
         door["tenant-header"], door["subject-header"], top.get("leave-within", 15.0),
         log.get("form", "json"), log.get("level", "info"),
         file.parent / kept["folder"] if "folder" in kept else None, kept["size"], kept["segment"], kept["age"])
--- a/stepsail/charter/words.py
+++ b/stepsail/charter/words.py
@@ -203,6 +203,8 @@
          absent=16384),
     Word("body", "Most bytes of a request's or an answer's body.",
          (arg("size", "size", minimum=0, maximum=1 << 28),), absent=1048576),
+    Word("hold", "Bodies up to this are held whole; larger ones are passed on as they come, and a request with "
+         "one can be sent to one server only.", (arg("size", "size", minimum=1024, maximum=1 << 28),), absent=65536),
     Word("idle", "A connection without a request is closed after this time.",
          (arg("time", "time", **TIME),), absent=60.0),
     Word("slow-sender", "A request must have arrived within this time of its first byte.",
--- a/stepsail/http/inlet.py
+++ b/stepsail/http/inlet.py
@@ -11,6 +11,24 @@
 AHEAD = 65536  # bytes of pipelined requests that are taken in while one is being answered
 
 
+class InletFlow:
+    """The rest of a request's body; once begun it can be sent to one server only."""
+
+    def __init__(self, inlet: Inlet) -> None:
+        self.inlet, self.begun, self.done = inlet, False, False
+
+    def more(self, within: float) -> bytes:
+        reader, self.begun = self.inlet.reader, True
+        while not reader.parts and not reader.whole:
+            data = self.inlet.stream.read(within)
+            if not data:
+                raise BadMessage(400, "the stream ended inside a request")
+            reader.feed(data)
+        part = reader.take()
+        self.done = not part
+        return part
+
+
 class Inlet:
     """Reads requests off a stream. What a client sends ahead is kept up to AHEAD bytes, then left unread."""
 
@@ -27,7 +45,7 @@
         if reader.buffer:
             reader.feed(b"")
         by, told = 0.0, False
-        while not reader.whole:
+        while not reader.whole and not reader.flowing:
             if reader.begun and not by:
                 by = self.loop.now() + self.bounds.slow
             if reader.expects and not told:
@@ -45,7 +63,10 @@
                     raise BadMessage(400, "the stream ended inside a request")
                 return None
             reader.feed(data)
-        return reader.request_read()
+        request = reader.request_read()
+        if not reader.whole:
+            request.flow = InletFlow(self)
+        return request
 
     def arm(self, waiter: Waiter) -> bool:
         """While one is answered: wake the waiter when the client sends or closes; False if that is known."""
--- a/stepsail/http/outlet.py
+++ b/stepsail/http/outlet.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from stepsail.http.message import BadMessage, Bounds, Response
+from stepsail.http.message import BadMessage, Bounds, Flow, Response, chunk
 from stepsail.http.reader import Reader
 from stepsail.loop import Loop, Stream
 
@@ -18,13 +18,35 @@
     read: int = 0
 
 
+class OutletFlow:
+    """The rest of an answer's body. When it is done, the connection is free again."""
+
+    def __init__(self, outlet: Outlet) -> None:
+        self.outlet, self.begun, self.done = outlet, False, False
+
+    def more(self, within: float) -> bytes:
+        outlet, self.begun = self.outlet, True
+        reader = outlet.reader
+        while not reader.parts and not reader.whole:
+            part = outlet.stream.read(within)
+            if part:
+                reader.feed(part)
+            else:
+                reader.end()
+        taken = reader.take()
+        if not taken:
+            self.done, outlet.used_at = True, outlet.loop.now()
+            outlet._over()
+        return taken
+
+
 class Outlet:
     """One connection to a server, one exchange at a time."""
 
     def __init__(self, loop: Loop, stream: Stream, bounds: Bounds) -> None:
         self.loop, self.stream, self.bounds = loop, stream, bounds
         self.reader = Reader(False, bounds)
-        self.used_at, self.fresh, self.usable = loop.now(), True, True
+        self.used_at, self.fresh, self.usable, self.all_sent = loop.now(), True, True, True
 
     def stale(self) -> bool:
         """Whether an idle connection has ended, or has said something that nobody asked for."""
@@ -33,10 +55,12 @@
         except OSError:
             return True
 
-    def exchange(self, data: bytes, until: float, progress: Progress, no_body: bool = False) -> Response:
+    def exchange(self, data: bytes, until: float, progress: Progress, no_body: bool = False,
+                 flow: Flow | None = None, chunked: bool = False) -> Response:
         """Send a request and read its answer. Raises TimedOut at `until`, OSError, BadMessage, Closed.
 
-        An answer that comes before the request was all sent counts: writing and reading take turns.
+        An answer that comes before the request was all sent counts: writing and reading take turns. `flow` is
+        the rest of the request's body, sent as chunks if so told. The answer may have a flow of its own.
         """
         loop, stream, reader = self.loop, self.stream, self.reader
         self.fresh, self.usable = False, False
@@ -45,6 +69,11 @@
         try:
             try:
                 self._send(data, until, progress)
+                while flow is not None and not flow.done and not reader.whole and not reader.flowing:
+                    part = flow.more(max(0.0, until - loop.now()))
+                    data = chunk(part) if chunked else part
+                    progress.whole += len(data)
+                    self._send(data, until, progress)
             except (BrokenPipeError, ConnectionResetError):
                 if stream.sent == before:
                     raise
@@ -52,7 +81,7 @@
             finally:
                 progress.written = stream.sent - before
             while True:
-                while not reader.whole:
+                while not reader.whole and not reader.flowing:
                     part = stream.read(max(0.0, until - loop.now()))
                     progress.read += len(part)
                     if part:
@@ -68,14 +97,21 @@
         finally:
             self.used_at = loop.now()
         answer = reader.response_read()
-        # Bytes behind the answer belong to nothing that was asked: such a connection is not used again.
-        self.usable = answer.keep_alive and not reader.buffer and progress.written == progress.whole
+        self.all_sent = progress.written == progress.whole and (flow is None or flow.done)
+        if reader.whole:
+            self._over()
+        else:
+            answer.flow = OutletFlow(self)
         return answer
 
+    def _over(self) -> None:
+        # Bytes behind the answer belong to nothing that was asked: such a connection is not used again.
+        self.usable = self.reader.keep_alive and not self.reader.buffer and self.all_sent
+
     def _send(self, data: bytes, until: float, progress: Progress) -> None:
         """Send until all is sent or the answer is there, whichever is first."""
         rest = memoryview(data)
-        while rest and not self.reader.whole:
+        while rest and not self.reader.whole and not self.reader.flowing:
             sent = self.stream.write_some(rest, max(0.0, until - self.loop.now()))
             rest = rest[sent:]
             part = None if sent else self.stream.read_now()
--- a/stepsail/http/reader.py
+++ b/stepsail/http/reader.py
@@ -29,7 +29,8 @@
         self.parts: list[bytes] = []
         self.got, self.ended, self.overrun = 0, False, False
         self.url, self.status, self.keep_alive, self.expects = b"", 0, True, False
-        self.method = b""
+        self.method, self.version = b"", "1.1"
+        self.length: int | None = None
 
     # what the parser calls
     def on_message_begin(self) -> None:
@@ -55,6 +56,16 @@
     def whole(self) -> bool:
         return self.state == WHOLE
 
+    @property
+    def flowing(self) -> bool:
+        """Whether the body is larger than what is held, so that its parts must be taken as they come."""
+        return self.state not in (HEAD, WHOLE) and self.got > self.bounds.hold
+
+    def take(self) -> bytes:
+        """The parts of the body so far, which are kept no longer."""
+        taken, self.parts = b"".join(self.parts), []
+        return taken
+
     @property
     def begun(self) -> bool:
         """Whether any byte of a message is here."""
@@ -104,7 +115,7 @@
         kind = httptools.HttpRequestParser if self.request else httptools.HttpResponseParser
         self.parser: Any = kind(self)
         self.parser.feed_data(head)
-        version = self.parser.get_http_version()
+        version = self.version = self.parser.get_http_version()
         closes = listed(self.headers, b"connection")
         self.keep_alive = b"close" not in closes and (version == "1.1" or b"keep-alive" in closes)
         length = body_length(self.headers, self.request, version)
@@ -121,6 +132,7 @@
             self.status = self.parser.get_status_code()
             if self.no_body or self.status < 200 or self.status in (204, 304):
                 length = 0
+        self.length = length if length is None or length >= 0 else None
         if length is None:
             self.state, self.wire = CHUNKED, 0
         elif length < 0:
@@ -160,7 +172,8 @@
             raise BadMessage(413, f"a body of over {self.bounds.body} bytes")
 
     def request_read(self) -> Request:
-        return Request(self.method, self.url, self.headers, b"".join(self.parts), self.keep_alive)
+        return Request(self.method, self.url, self.headers, self.take(), self.keep_alive, None, self.length,
+                       self.version == "1.1")
 
     def response_read(self) -> Response:
-        return Response(self.status, self.headers, b"".join(self.parts), self.keep_alive)
+        return Response(self.status, self.headers, self.take(), self.keep_alive, None, self.length)
--- a/stepsail/umpire/door.py
+++ b/stepsail/umpire/door.py
@@ -11,7 +11,8 @@
 
 from stepsail.charter import Orders
 from stepsail.http import BadMessage, Bounds, Inlet, Request, Response, encode_response
-from stepsail.loop import Listener, Loop, Stream, TimedOut
+from stepsail.http.message import chunk, encode_response_start
+from stepsail.loop import Closed, Listener, Loop, Stream, TimedOut
 from stepsail.umpire.host import Held, Host, Log
 from stepsail.umpire.messages import CONTESTED
 
@@ -32,7 +33,8 @@
 
     def __init__(self, loop: Loop, orders: Orders, host: Host, log: Log) -> None:
         self.loop, self.orders, self.host, self.log = loop, orders, host, log
-        self.bounds = Bounds(orders.most_head, orders.most_body, orders.door_idle, orders.slow_sender)
+        self.bounds = Bounds(orders.most_head, orders.most_body, orders.hold, orders.door_idle,
+                             orders.slow_sender)
         self.listener: Listener | None = None
         self.leaving, self.ready, self.number = False, False, 0
         self.tenants = {name.encode(): at for at, name in enumerate(orders.tenants)}
@@ -174,7 +176,8 @@
         while not held.closed:
             held.waiter = waiter = loop.waiter()
             try:
-                armed = inlet.arm(waiter)
+                # The relay reads a large body; whether the client is there shows in that.
+                armed = held.request.flow is None and inlet.arm(waiter)
                 try:
                     loop.park(waiter, "a final answer", max(0.0, forced_at - loop.now()))
                 finally:
@@ -207,13 +210,36 @@
             answer = Response(503, [JSON, (b"retry-after", wait)], DENIED % held.stay_away)
         elif answer is None:
             answer = Response(504 if now >= held.until - 0.1 else 502, [JSON], ERRORED)
-        keep = request.keep_alive and not self.leaving
+        keep = request.keep_alive and not self.leaving and (request.flow is None or request.flow.done)
         try:
-            stream.write(self._encode(answer, request, keep), held.client_until - now)
+            if answer.flow:
+                keep &= answer.length is not None or request.chunks_known
+                self._stream(stream, request, held, answer, keep)
+            else:
+                stream.write(self._encode(answer, request, keep), held.client_until - now)
         except TimedOut:
             stream.abort()
             self.log.warning("client_read_too_slowly", transaction=held.number)
             return False
+        except Closed:
+            stream.abort()  # the server's answer broke off: a reset tells the client that it is not whole
+            return False
         finally:
             self.host.forget_if_over(held)
+        if not keep and request.flow is not None:
+            stream.half_close()
+            self._drain(stream)
         return keep
+
+    def _stream(self, stream: Stream, request: Request, held: Held, answer: Response, keep: bool) -> None:
+        """Pass a large answer on as it comes."""
+        def left() -> float:
+            return max(0.0, held.client_until - self.loop.now())
+        assert answer.flow
+        chunked = answer.length is None and request.chunks_known
+        stream.write(encode_response_start(answer.status, answer.headers, answer.body, answer.length, keep, chunked),
+                     left())
+        while part := answer.flow.more(left()):
+            stream.write(chunk(part) if chunked else part, left())
+        if chunked:
+            stream.write(chunk(b""), left())
--- a/stepsail/umpire/host.py
+++ b/stepsail/umpire/host.py
@@ -35,7 +35,7 @@
     """A transaction that this umpire has taken and not answered: the door's side of the module's handle."""
 
     __slots__ = ("answer", "client_until", "closed", "handle", "number", "relays", "request", "stay_away",
-                 "until", "verdict", "waiter")
+                 "until", "streams", "verdict", "waiter")
 
     def __init__(self, number: int, request: Request, until: float, client_until: float) -> None:
         self.number, self.request, self.until, self.client_until = number, request, until, client_until
@@ -44,6 +44,7 @@
         self.answer: Response | None = None
         self.verdict = ""  # handled, denied, errored, or left
         self.closed, self.stay_away = False, 0.0
+        self.streams = -1  # the relay whose answer is being passed on as it comes
         self.waiter: Waiter | None = None
 
     def close(self, verdict: str, answer: Response | None = None) -> bool:
@@ -154,6 +155,8 @@
 
     def withdraw(self, transaction: TransactionHandle, relay: int) -> None:
         held = self._held(transaction)
+        if held.streams == relay:
+            return  # its answer has begun to reach the client and belongs to it
         task = held.relays[relay]
         task.cancel()
         if not task.begun:  # it never will; the module still hears of its end
--- a/stepsail/umpire/nodes.py
+++ b/stepsail/umpire/nodes.py
@@ -10,12 +10,13 @@
 from stepsail.charter import Orders
 from stepsail.charter.orders import Address
 from stepsail.http import BadMessage, Bounds, Outlet, Progress, Request, Response, encode_request
-from stepsail.http.message import Headers, end_to_end
+from stepsail.http.message import Headers, encode_request_start, end_to_end
 from stepsail.interface import Outcome, ServerHandle
-from stepsail.loop import Cancelled, Closed, Loop, Stream, Task, TimedOut
+from stepsail.loop import Cancelled, Channel, Closed, Loop, Stream, Task, TimedOut
 from stepsail.umpire.endings import NOT_RUN, Close, outcome
 from stepsail.umpire.host import Held, Host
 
+PARTS = 4  # parts of a large answer that may wait for a slow client
 SWEEP = 1.0  # s between looks at idle connections
 REPORT = b"endpoint-load-metrics"  # ORCA's header; the text form is `TEXT name=value, …`
 ORCA_NAMES = {"q": "named_metrics.queue", "rif": "named_metrics.inflight", "busy": "cpu_utilization",
@@ -55,15 +56,30 @@
         self.open = 0
 
 
+class PartsFlow:
+    """An answer's parts on their way from a relay's task to the door's."""
+
+    def __init__(self, parts: Channel[bytes]) -> None:
+        self.parts, self.begun, self.done = parts, False, False
+
+    def more(self, within: float) -> bytes:
+        """Closed where the relay ended before the answer did."""
+        self.begun = True
+        part = self.parts.get(within)
+        self.done = not part
+        return part
+
+
 class Nodes:
     """Bounds: `connections` to each server, in use or idle; idle ones end after `idle_for`."""
 
     def __init__(self, loop: Loop, orders: Orders, host: Host) -> None:
         self.loop, self.orders, self.host = loop, orders, host
-        self.bounds = Bounds(orders.most_head, orders.most_body)
+        self.bounds = Bounds(orders.most_head, orders.most_body, orders.hold)
         self.nodes: dict[bytes, Node] = {}
         self.via = b"1.1 umpire-%d" % orders.charter.me
         self.probes, self.connects = 0, 0
+        self.streaming: dict[int, Outlet] = {}  # connections whose answers are being passed on
 
     def node(self, address: bytes) -> Node:
         found = self.nodes.get(address)
@@ -83,21 +99,53 @@
             close, answer = self._exchange(held, node, until, progress)
         except Cancelled:
             close = Close.WITHDRAWN
+        if close is Close.ANSWERED and answer and answer.flow:
+            close = self._pass_on(held, number, node, answer, until)
         says = answer is not None and any(name == NOT_RUN for name, _ in answer.headers)
         ended = outcome(close, progress.written, answer.status if answer else 0, says)
         report = read_report(answer.headers, self.orders.charter.report_columns) if answer else ()
-        if answer is not None and ended is Outcome.HANDLED:
-            answer.headers = [*end_to_end(answer.headers), (b"via", b"%s (%s)" % (self.via, node.address))]
+        if answer is not None and ended is Outcome.HANDLED and number != held.streams:
+            self._mark(answer, node)
         self.host.relay_ended(held, number, ended, self.loop.now() - start, report, answer)
         if held.closed:  # this task is not done yet, so that `forget_if_over` could not see the end
             self.loop.after(0.0, lambda: self.host.forget_if_over(held))
 
+    def _mark(self, answer: Response, node: Node) -> None:
+        answer.headers = [*end_to_end(answer.headers), (b"via", b"%s (%s)" % (self.via, node.address))]
+
+    def _pass_on(self, held: Held, number: int, node: Node, answer: Response, until: float) -> Close:
+        """A large answer goes to the client as it comes. From its first byte on it is the final answer; should
+        it break, the client's connection is reset. A client that reads slowly holds up the server in turn."""
+        flow, outlet, loop = answer.flow, self.streaming.pop(id(answer)), self.loop
+        assert flow
+        parts: Channel[bytes] = Channel(loop, PARTS)
+        close = Close.BROKE
+        try:
+            if answer.status >= 500 or held.closed:
+                return Close.ANSWERED if answer.status >= 500 else Close.BROKE
+            self._mark(answer, node)
+            answer.flow, held.streams = PartsFlow(parts), number
+            held.close("handled", answer)
+            while part := flow.more(max(0.0, until - loop.now())):
+                parts.put(part, max(0.0, until - loop.now()))
+            parts.put(b"", max(0.0, until - loop.now()))
+            close = Close.ANSWERED
+        except TimedOut:
+            close = Close.TIME_OVER
+        except (OSError, Closed, BadMessage):
+            close = Close.BROKE
+        finally:
+            parts.close()
+            self._put_back(node, outlet)
+        return close
+
     def _exchange(self, held: Held, node: Node, until: float,
                   progress: Progress) -> tuple[Close, Response | None]:
         """One relay. Only a connection on which not one byte was written is changed for another."""
         while True:
-            if held.closed or self.loop.now() >= until:
-                return Close.NOT_BEGUN, None
+            begun = held.request.flow is not None and held.request.flow.begun
+            if held.closed or self.loop.now() >= until or begun:
+                return Close.NOT_BEGUN, None  # also where part of the body has gone to another server
             try:
                 outlet = self._outlet(node, until)
             except TimedOut:
@@ -114,10 +162,13 @@
             if held.closed or now >= until:
                 self._put_back(node, outlet)
                 return Close.NOT_BEGUN, None
-            fresh = outlet.fresh
+            fresh, kept, flow = outlet.fresh, False, held.request.flow
             try:
                 answer = outlet.exchange(self._encode(held.request, node, until - now), until, progress,
-                                         held.request.method == b"HEAD")
+                                         held.request.method == b"HEAD", flow, held.request.length is None)
+                kept = answer.flow is not None
+                if kept:
+                    self.streaming[id(answer)] = outlet
                 return Close.ANSWERED, answer
             except TimedOut:
                 return Close.TIME_OVER, None
@@ -126,11 +177,14 @@
                     continue  # an idle connection that had died; nothing of the request left this process
                 return Close.BROKE, None
             finally:
-                self._put_back(node, outlet)
+                if not kept:
+                    self._put_back(node, outlet)
 
     def _encode(self, request: Request, node: Node, left: float) -> bytes:
         headers = [pair for pair in end_to_end(request.headers) if pair[0] not in OURS]
         headers += [(b"host", node.address), (b"via", self.via), (b"request-timeout", b"%.3f" % left)]
+        if request.flow:
+            return encode_request_start(request.method, request.target, headers, request.body, request.length)
         return encode_request(request.method, request.target, headers, request.body)
 
     def _outlet(self, node: Node, until: float) -> Outlet | None:
--- a/tests/http/test_reader.py
+++ b/tests/http/test_reader.py
@@ -170,4 +170,4 @@
     reader = Reader(False, BOUNDS)
     reader.feed(encode_response(503, headers, body, keep_alive=False))
     assert reader.response_read() == Response(503, [*headers, (b"content-length", b"%d" % len(body)),
-                                                    (b"connection", b"close")], body, False)
+                                                    (b"connection", b"close")], body, False, None, len(body))
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -38,10 +38,18 @@
     target 400ms
     abandon 1500ms
 }
+product late {
+    route GET /late
+    repeats redoable
+    target 400ms
+    abandon 3s
+    late-share 50%
+}
 release {
     stage 100% cap 1
 }
 """
+LARGE = 64 << 20
 Script = Callable[["ScriptedBox", Stream, Request, Inlet], bytes | None]
 
 
@@ -60,21 +68,24 @@
 class ScriptedBox:
     """A box that does what its script says; the script gives the answer's bytes, or None to hang up."""
 
-    def __init__(self, loop: Loop, script: Script, build: int = 1, zone: str = "here") -> None:
+    def __init__(self, loop: Loop, script: Script, build: int = 1, zone: str = "here", number: int = 99) -> None:
         self.loop, self.script, self.build, self.zone, self.state = loop, script, build, zone, "ready"
         self.seen: list[Request] = []
-        self.listener = Listener(loop, ("127.0.0.1", 0), 1000)
+        # An address of its own, so that the order of addresses does not hang on which ports are free.
+        self.listener = Listener(loop, (f"127.0.0.{2 + number}", 0), 1000)
         self.address = "{}:{}".format(*self.listener.address)
         loop.spawn(self.listener.serve, self._serve, "box", name="box")
 
     def _serve(self, stream: Stream) -> None:
-        inlet = Inlet(self.loop, stream, Bounds())
+        inlet = Inlet(self.loop, stream, Bounds(body=LARGE, hold=32768))
         while (request := inlet.next()) is not None:
             self.seen.append(request)
             answer = self.script(self, stream, request, inlet)
             if answer is None:
                 return
             stream.write(answer, 2.0)
+            if request.flow and not request.flow.done:
+                return
 
 
 def answers(status: int = 200, body: bytes = b"ok", headers: tuple[tuple[bytes, bytes], ...] = ()) -> Script:
@@ -107,7 +118,7 @@
             self.driver.shutdown()
 
     def _main(self) -> None:
-        self.boxes = [ScriptedBox(self.loop, script) for script in self.scripts]
+        self.boxes = [ScriptedBox(self.loop, script, number=at) for at, script in enumerate(self.scripts)]
         self.conveyor = Service(self.loop, "conveyor", lambda path, query, body, stream: self._news(query))
         self.roster = Service(self.loop, "roster", lambda path, query, body, stream: self._list(query))
         self.listen = free_address()
@@ -154,7 +165,7 @@
             named.append((b"request-timeout", b"%.3f" % left))
         try:
             data = encode_request(method.encode(), path.encode(), named, body)
-            return Outlet(self.loop, own, Bounds()).exchange(data, self.loop.now() + within, Progress())
+            return Outlet(self.loop, own, Bounds(body=LARGE)).exchange(data, self.loop.now() + within, Progress())
         finally:
             if stream is None:
                 own.close()
--- a/tests/umpire/test_relays.py
+++ b/tests/umpire/test_relays.py
@@ -135,14 +135,22 @@
 
 
 def test_a_silent_box_is_given_up_and_its_late_answer_reaches_nobody(tmp_path: Path) -> None:
+    first: list[ScriptedBox] = []
+
+    def first_hangs(box: ScriptedBox, stream: Stream, request: Request, inlet: Inlet) -> bytes | None:
+        if first:
+            return encode_response(200, [], b"ok")
+        first.append(box)
+        return hangs(1.2)(box, stream, request, inlet)
+
     def test(rig: Rig) -> None:
         stream = rig.connect()
-        answer = rig.ask("GET", "/look", stream=stream)
-        assert answer.body == b"ok"
+        answer = rig.ask("GET", "/late", stream=stream)
+        assert answer.body == b"ok" and rig.total() == 2
         rig.loop.sleep(1.0)  # the hung one answers now, into a closed connection
         assert stream.read_now() is None
         stream.close()
-    Rig(tmp_path, test, [hangs(1.2), answers(), answers(), answers()])
+    Rig(tmp_path, test, [first_hangs] * 4)
 
 
 def test_labelled_goes_again_only_where_its_repeats_are_dropped(tmp_path: Path) -> None:
--- /dev/null
+++ b/tests/umpire/test_streams.py
@@ -0,0 +1,140 @@
+"""Large bodies pass as they come, both ways, with back-pressure; what breaks off is never taken for whole."""
+
+from __future__ import annotations
+
+import hashlib
+from pathlib import Path
+
+import pytest
+from rig import Rig, ScriptedBox, answers
+
+from stepsail.http import BadMessage, Inlet, Request, encode_response
+from stepsail.http.message import chunk
+from stepsail.loop import Stream, TimedOut
+
+BIG = hashlib.sha256(b"big").digest() * (3 << 15)  # 3 MiB
+MORE = "door {\n    body 16m\n    hold 32k\n}"
+
+
+def digest_of_body(box: ScriptedBox, stream: Stream, request: Request, inlet: Inlet) -> bytes:
+    """Reads whatever comes and answers with its digest."""
+    found = hashlib.sha256(request.body)
+    while request.flow and (part := request.flow.more(5.0)):
+        found.update(part)
+    return encode_response(200, [], found.hexdigest().encode())
+
+
+def slowly(box: ScriptedBox, stream: Stream, request: Request, inlet: Inlet) -> bytes | None:
+    stream.write(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", 1.0)
+    for at in range(0, len(BIG), 100_000):
+        stream.write(chunk(BIG[at:at + 100_000]), 5.0)
+    return chunk(b"")
+
+
+@pytest.mark.parametrize("script", [slowly, answers(200, BIG)])
+def test_a_large_answer_arrives_whole_and_the_connections_go_on(tmp_path: Path, script: object) -> None:
+    def test(rig: Rig) -> None:
+        stream = rig.connect()
+        for _ in range(2):
+            answer = rig.ask("GET", "/look", stream=stream)
+            assert answer.status == 200 and answer.body == BIG
+        rig.loop.sleep(0.05)
+        assert rig.daemon.nodes.connects == 1 and rig.daemon.host.held == {} and rig.daemon.nodes.streaming == {}
+        stream.close()
+    Rig(tmp_path, test, [script], MORE)  # type: ignore[list-item]
+
+
+def test_a_slow_client_holds_up_the_server_and_not_the_umpires_memory(tmp_path: Path) -> None:
+    def test(rig: Rig) -> None:
+        stream = rig.connect()
+        stream.write(b"GET /look HTTP/1.1\r\nhost: x\r\nrequest-timeout: 1.5\r\n\r\n")
+        rig.loop.sleep(0.4)
+        held = next(iter(rig.daemon.host.held.values()))
+        assert held.answer and held.answer.flow
+        waiting = held.answer.flow.parts.things  # type: ignore[attr-defined]
+        assert sum(map(len, waiting)) <= 5 * 65536
+        box = rig.boxes[0].listener
+        assert next(iter(box.open)).sent < 15 << 20  # it could not send all of its 16 MiB
+        rig.loop.sleep(1.3)
+        assert "client_read_too_slowly" in rig.log.events()
+        rig.loop.sleep(0.1)
+        assert rig.daemon.host.held == {} and not box.open
+        stream.close()
+    Rig(tmp_path, test, [answers(200, bytes(16 << 20))], "door {\n    body 32m\n    hold 32k\n}")
+
+
+def test_an_answer_that_breaks_off_resets_the_client_and_is_told_as_broken(tmp_path: Path) -> None:
+    def broken(box: ScriptedBox, stream: Stream, request: Request, inlet: Inlet) -> bytes | None:
+        stream.write(b"HTTP/1.1 200 OK\r\ncontent-length: 1000000\r\n\r\n" + BIG[:200_000], 1.0)
+        return None
+
+    def test(rig: Rig) -> None:
+        with pytest.raises((OSError, BadMessage)):
+            rig.ask("POST", "/pay", b"{}")
+        assert rig.total() == 1
+        rig.loop.sleep(0.05)
+        assert rig.daemon.host.held == {} and rig.daemon.host.faults == 0
+    Rig(tmp_path, test, [broken, broken], MORE)
+
+
+@pytest.mark.parametrize("length_known", [True, False])
+def test_a_large_request_is_passed_on_as_it_comes(tmp_path: Path, length_known: bool) -> None:
+    def test(rig: Rig) -> None:
+        stream = rig.connect()
+        head = b"POST /pay HTTP/1.1\r\nhost: x\r\n"
+        parts = [BIG[at:at + 50_000] for at in range(0, len(BIG), 50_000)]
+        if length_known:
+            stream.write(head + b"content-length: %d\r\n\r\n" % len(BIG))
+        else:
+            stream.write(head + b"transfer-encoding: chunked\r\n\r\n")
+            parts = [*map(chunk, parts), chunk(b"")]
+        for part in parts:
+            stream.write(part, 2.0)
+        got = b""
+        while b"\r\n\r\n" not in got or len(got.split(b"\r\n\r\n")[1]) < 64:
+            got += stream.read(2.0)
+        assert got.startswith(b"HTTP/1.1 200 OK") and hashlib.sha256(BIG).hexdigest().encode() in got
+        assert rig.ask("GET", "/look", stream=stream).status == 200  # the same connection goes on
+        stream.close()
+    Rig(tmp_path, test, [digest_of_body, digest_of_body], MORE)
+
+
+def test_a_large_request_that_met_a_dead_server_first_goes_whole_to_another(tmp_path: Path) -> None:
+    def test(rig: Rig) -> None:
+        rig.boxes[0].listener.drop()
+        for _ in range(4):
+            answer = rig.ask("POST", "/pay", BIG)
+            assert answer.status == 200 and answer.body == hashlib.sha256(BIG).hexdigest().encode()
+    Rig(tmp_path, test, [digest_of_body, digest_of_body], MORE)
+
+
+@pytest.mark.parametrize(("method", "path", "status"), [("POST", "/pay", 502), ("GET", "/look", 503)])
+def test_a_body_that_has_begun_to_leave_goes_to_no_second_server(tmp_path: Path, method: str, path: str,
+                                                                status: int) -> None:
+    def gives_up(box: ScriptedBox, stream: Stream, request: Request, inlet: Inlet) -> bytes | None:
+        assert request.flow
+        request.flow.more(1.0)
+        return None
+
+    def test(rig: Rig) -> None:
+        answer = rig.ask(method, path, BIG)
+        assert answer.status == status and rig.total() == 1
+    Rig(tmp_path, test, [gives_up, gives_up], MORE)
+
+
+def test_a_client_that_stops_in_the_middle_of_its_body_costs_one_relay_and_no_more_than_its_time(
+        tmp_path: Path) -> None:
+    def test(rig: Rig) -> None:
+        stream = rig.connect()
+        stream.write(b"POST /pay HTTP/1.1\r\nhost: x\r\nrequest-timeout: 0.5\r\ncontent-length: 1000000\r\n\r\n"
+                     + BIG[:100_000])
+        start = rig.loop.now()
+        got = stream.read(2.0)
+        assert got.startswith(b"HTTP/1.1 50") and rig.loop.now() - start < 0.5
+        try:
+            while stream.read(1.0):
+                pass
+        except (OSError, TimedOut):
+            pass
+        assert rig.total() == 1 and rig.daemon.host.held == {}
+    Rig(tmp_path, test, [digest_of_body, digest_of_body], MORE)
