A crash-proof audit trail: signed chains of answers, kept before they are given

Need: the co-operative answers to its members for every fee and finish time, across kills and full disks. Change: stepsail/trail keeps each final answer before its first byte leaves, by group commit on a thread; entries are chained and heads signed (Ed25519); a file that a failed write or sync touched is never written again; a reserve and a stated policy for a full disk; audit, reconcile, merge, export. Frames are shared with captures.

--- a/stepsail/capture/blocks.py
+++ b/stepsail/capture/blocks.py
@@ -1,8 +1,7 @@
 """Segments of a capture: blocks with checksums, an index at the end, and a reader that never guesses.
 
-A segment begins with a line of text, `stepsail capture N`. Each block has a header with a checksum of its own, so
-that a header that was cut short (a torn tail, normal after a crash) is told from one that was changed (damage).
-The last block holds the offsets and times of the others; a segment without it was not closed.
+A segment begins with a line of text, `stepsail capture N`; its blocks are frames (`store/frames.py`). The last one
+holds the offsets and times of the others; a segment without it was not closed.
 """
 
 from __future__ import annotations
@@ -15,19 +14,14 @@
 from typing import Any
 
 import msgspec
-import xxhash
 import zstandard
 
 from stepsail.capture.entries import DECODER, OLD_DECODER, Entry
+from stepsail.store.frames import LENGTH, Damaged, Frame, frame, frame_at
 
 VERSION = 2  # 2: entries hold the error that the module raised
 OLDEST = 1
 TITLE = b"stepsail capture %d\n"
-MARK = b"\xa5SB\x01"
-HEADER = struct.Struct("<4sB3xIQdQ")  # mark, kind, bytes, first entry, its clock, checksum of the payload
-CHECK = struct.Struct("<I")  # checksum of the header
-HEAD = HEADER.size + CHECK.size
-LENGTH = struct.Struct("<I")
 MOST_BLOCK = 64 << 20  # bytes of a block, unpacked; a larger claim is damage
 
 
@@ -40,31 +34,9 @@
     END = 5
 
 
-class Damaged(Exception):
-    """Bytes that are not what was written: file, offset, and why."""
-
-    def __init__(self, file: Path, offset: int, why: str) -> None:
-        super().__init__(f"{file}: damaged at byte {offset}: {why}")
-        self.file, self.offset = file, offset
-
-
 def block(kind: Kind, payload: bytes, first: int, clock: float) -> bytes:
     """The bytes of one block; the payload is compressed here."""
-    packed = zstandard.ZstdCompressor(level=3).compress(payload)
-    head = HEADER.pack(MARK, kind, len(packed), first, clock, xxhash.xxh64_intdigest(packed))
-    return head + CHECK.pack(xxhash.xxh32_intdigest(head)) + packed
-
-
-@dataclass
-class Block:
-    """One block found: where, what kind, its first entry and that one's clock."""
-
-    offset: int
-    kind: int
-    first: int
-    clock: float
-    start: int
-    end: int
+    return frame(kind, zstandard.ZstdCompressor(level=3).compress(payload), first, clock)
 
 
 @dataclass
@@ -75,11 +47,11 @@
     version: int
     data: bytes
     meta: dict[str, Any] = field(default_factory=dict)
-    blocks: list[Block] = field(default_factory=list)
+    blocks: list[Frame] = field(default_factory=list)
     sealed: bool = False
     torn_at: int | None = None
 
-    def payload(self, found: Block) -> bytes:
+    def payload(self, found: Frame) -> bytes:
         """Raises Damaged."""
         packed = self.data[found.start:found.end]
         try:
@@ -129,7 +101,7 @@
     segment = Segment(file, versions[title], data)
     at = len(title)
     while at < len(data):
-        found = _block_at(segment, at)
+        found = frame_at(file, data, at)
         if found is None:
             segment.torn_at = at
             break
@@ -147,28 +119,7 @@
     return segment
 
 
-def _block_at(segment: Segment, at: int) -> Block | None:
-    """The block there; None for a tail that a crash cut short."""
-    data = segment.data
-    head = data[at:at + HEAD]
-    if len(head) < HEAD or not any(data[at:]):  # cut inside a header, or space that was never written
-        if len(head) < HEAD and not MARK.startswith(head[:4]) and any(head):
-            raise Damaged(segment.file, at, "this begins no block")
-        return None
-    mark, kind, size, first, clock, check = HEADER.unpack(head[:HEADER.size])
-    if CHECK.unpack(head[HEADER.size:])[0] != xxhash.xxh32_intdigest(head[:HEADER.size]) or mark != MARK:
-        raise Damaged(segment.file, at, "a block's header is not what was written")
-    start, end = at + HEAD, at + HEAD + size
-    if end > len(data):
-        return None
-    if xxhash.xxh64_intdigest(data[start:end]) != check:
-        if end == len(data) and not any(data[end - 16:end]):
-            return None  # the length reached the disk and the last bytes did not
-        raise Damaged(segment.file, at, "a block's payload is not what was written")
-    return Block(at, kind, first, clock, start, end)
-
-
-def _check_index(segment: Segment, end: Block) -> None:
+def _check_index(segment: Segment, end: Frame) -> None:
     told = msgspec.msgpack.decode(segment.payload(end))
     seen = [[b.offset, b.first, b.clock] for b in segment.blocks if b.kind == Kind.ENTRIES]
     if told.get("blocks") != seen:
--- a/stepsail/capture/folder.py
+++ b/stepsail/capture/folder.py
@@ -11,10 +11,11 @@
 
 import msgspec
 
-from stepsail.capture.blocks import LENGTH, TITLE, VERSION, Damaged, Kind, Segment, block, read_segment
+from stepsail.capture.blocks import TITLE, VERSION, Kind, Segment, block, read_segment
 from stepsail.capture.entries import ENCODER, Entry, Told
 from stepsail.capture.replay import CannotReplay, Replayed, replay
 from stepsail.capture.writer import BLOCK, SUFFIX
+from stepsail.store.frames import LENGTH, Damaged
 
 
 @dataclass
--- a/stepsail/capture/writer.py
+++ b/stepsail/capture/writer.py
@@ -21,10 +21,11 @@
 
 import msgspec
 
-from stepsail.capture.blocks import LENGTH, TITLE, VERSION, Kind, block
+from stepsail.capture.blocks import TITLE, VERSION, Kind, block
 from stepsail.capture.entries import ENCODER, Entry
 from stepsail.capture.state import NoState
 from stepsail.interface import Charter
+from stepsail.store.frames import LENGTH
 
 BLOCK = 256 << 10  # bytes of entries in a block before it is compressed
 FLUSH = 1.0  # s of the umpire's clock after which a block is handed over, full or not
--- a/stepsail/charter/orders.py
+++ b/stepsail/charter/orders.py
@@ -54,6 +54,12 @@
     leave_within: float
     log_form: str
     log_level: str
+    trail: Path | None
+    trail_survives: str
+    trail_when_full: str
+    trail_commit: float
+    trail_segment: int
+    trail_reserve: int
     capture: Path | None
     capture_size: int
     capture_segment: int
@@ -154,6 +160,7 @@
         votes_per_s=release["votes-per-second"], tenant_shares=tuple(t["share"] for t in tenants),
         tenant_quotas=tuple(t.get("quota", 0.0) for t in tenants))
     log = top.get("log", {})
+    trail = _filled(top.get("trail", {}), next(w.block for w in WORDS if w.name == "trail"))
     kept = _filled(top.get("capture", {}), next(w.block for w in WORDS if w.name == "capture"))
     return Orders(
         charter, tuple(p["name"] for p in top["product"]), tuple(top["zones"]),
@@ -168,4 +175,6 @@
         door["slow-sender"],
         door["tenant-header"], door["subject-header"], top.get("leave-within", 15.0),
         log.get("form", "json"), log.get("level", "info"),
+        file.parent / trail["folder"] if "folder" in trail else None, trail["survives"], trail["when-full"],
+        trail["commit-within"] if "folder" in trail else 0.0, trail["segment"], trail["reserve"],
         file.parent / kept["folder"] if "folder" in kept else None, kept["size"], kept["segment"], kept["age"])
--- a/stepsail/charter/words.py
+++ b/stepsail/charter/words.py
@@ -248,5 +248,16 @@
                  (arg("size", "size", minimum=1 << 14, maximum=1 << 30),), absent=16 << 20),
             Word("age", "Segments older than this leave the ring.", (arg("time", "time", **TIME),),
                  absent=86400.0))),
+    Word("trail", "Folder of this umpire's audit trail; see trail.md.", (arg("folder", "text"),), (
+        Word("survives", "What a given answer survives in the trail.", (
+            arg("what", "text", enum=["process-crash", "power-loss", "power-loss-each"]),), absent="power-loss"),
+        Word("when-full", "While the trail cannot be kept: deny new transactions, or go on and tell of the gap.",
+             (arg("what", "text", enum=["deny", "go-on"]),), absent="deny"),
+        Word("commit-within", "Time that keeping an answer may take; the module is told that much less.",
+             (arg("time", "time", **TIME),), absent=0.05),
+        Word("segment", "Bytes of a file; a restart reads the last one.",
+             (arg("size", "size", minimum=1 << 14, maximum=1 << 30),), absent=16 << 20),
+        Word("reserve", "Bytes kept back for when the disk is full.",
+             (arg("size", "size", minimum=1 << 16, maximum=1 << 30),), absent=4 << 20))),
     Word("leave-within", "After a stop signal, longest time to answer what is held.",
          (arg("time", "time", **TIME),), absent=15.0))
--- a/stepsail/cli/captures.py
+++ b/stepsail/cli/captures.py
@@ -13,12 +13,13 @@
 from rich.table import Table
 
 from stepsail import balance
-from stepsail.capture.blocks import Damaged, Segment
+from stepsail.capture.blocks import Segment
 from stepsail.capture.entries import shown
 from stepsail.capture.explain import Explainer
 from stepsail.capture.folder import Run, cut, entries_of, read_runs, replay_stretch, servers_of
 from stepsail.capture.replay import CannotReplay
 from stepsail.capture.state import NoState
+from stepsail.store.frames import Damaged
 
 BAD, MISUSED = 1, 2
 PATH = click.Path(exists=True, path_type=Path)
--- a/stepsail/cli/main.py
+++ b/stepsail/cli/main.py
@@ -21,10 +21,12 @@
 from stepsail.balance import Umpire
 from stepsail.charter import Faults, read_orders
 from stepsail.charter import reference as reference_page
-from stepsail.cli import captures, logs
+from stepsail.cli import captures, logs, trails
 from stepsail.loop import Loop, PollDriver
 from stepsail.standins.day import read_day
 from stepsail.standins.rehearsal import Rehearsal
+from stepsail.trail.committer import Locked
+from stepsail.trail.keys import KeyTrouble
 from stepsail.umpire.life import Daemon
 from stepsail.verify import read_history, verify
 from stepsail.verify.history import BadTranscript
@@ -40,7 +42,7 @@
     """A transaction router and release judge."""
 
 
-for command in (captures.capture, captures.replay_command, captures.explain, captures.view):
+for command in (captures.capture, captures.replay_command, captures.explain, captures.view, trails.trail):
     main.add_command(command)
 
 
@@ -63,7 +65,7 @@
     loop = Loop(driver, lambda event, **fields: log.warning(event, **fields))
     try:
         code = loop.run(Daemon(loop, orders, Umpire, log, orders.log_level == "debug").run)
-    except OSError as trouble:
+    except (OSError, Locked, KeyTrouble) as trouble:
         log.error("cannot_run", error=str(trouble))
         sys.exit(FAILED)
     finally:
--- a/stepsail/loop/driver.py
+++ b/stepsail/loop/driver.py
@@ -66,4 +66,7 @@
 
     def on_signal(self, number: int, call: Callable[[], object]) -> None: ...
 
+    def post(self, call: Callable[[], object]) -> None:
+        """Run a call on the loop, between its rounds; the one thing another thread may ask."""
+
     def shutdown(self) -> None: ...
--- a/stepsail/loop/poll.py
+++ b/stepsail/loop/poll.py
@@ -10,6 +10,7 @@
 import socket
 import struct
 import time
+from collections import deque
 from collections.abc import Callable
 from typing import TYPE_CHECKING, cast
 
@@ -108,6 +109,7 @@
         self.wake_out.setblocking(False)
         self.poller.register(self.wake_out.fileno(), select.POLLIN)
         self.old_wake: int | None = None
+        self.posted: deque[Callable[[], object]] = deque()
 
     @staticmethod
     def _spare() -> int | None:
@@ -146,6 +148,14 @@
                 for number in numbers:
                     if number in self.calls:
                         self.calls[number]()
+        while self.posted:
+            self.posted.popleft()()
+
+    def post(self, call: Callable[[], object]) -> None:
+        """Run a call between rounds of the loop; from any thread. Bounded by what its callers have out."""
+        self.posted.append(call)
+        with contextlib.suppress(BlockingIOError, OSError):  # full: it will wake anyway
+            self.wake_in.send(b"\0")
 
     def _mask(self, port: SocketPort) -> None:
         mask = sum(READY[d] for d in port.waiters)
--- a/stepsail/standins/clients.py
+++ b/stepsail/standins/clients.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -142,11 +143,20 @@
         self.answers[verdict] = self.answers.get(verdict, 0) + 1
         self.transcript.add("client", "answer" if answer else "no answer", **told, verdict=verdict,
                             status=answer.status if answer else 0, product=wish.name, visit=visit.number,
-                            took=round(self.loop.now() - start, 6))
+                            took=round(self.loop.now() - start, 6), **self._receipt(answer))
         if answer and verdict == "handled":
             self._judge(answer, umpire, address, wish)
         return verdict, wait
 
+    @staticmethod
+    def _receipt(answer: Response | None) -> dict[str, str]:
+        """What a client can show later: the umpire's receipt and what it was for."""
+        receipt = answer.header(b"stepsail-receipt") if answer else None
+        if answer is None or receipt is None:
+            return {}
+        body = hashlib.blake2b(b"%d " % answer.status + answer.body, digest_size=16).hexdigest()
+        return {"receipt": receipt.decode(), "digest": body}
+
     def _read(self, answer: Response) -> tuple[str, float]:
         if answer.status < 400:
             return "handled", 0.0
--- /dev/null
+++ b/stepsail/trail/reader.py
@@ -0,0 +1,194 @@
+"""Reads a trail beside a live writer, and judges it with nothing but public keys and published heads."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from stepsail.trail.disk import Disk, RealDisk
+from stepsail.trail.entries import DECODER, NO_LINK, Entry, Kind, link
+from stepsail.trail.keys import PUBLIC_FILE, handover_message, identity, signed_well
+from stepsail.trail.log import Head, Segment, names_of_segments, read_segment
+
+
+@dataclass
+class Finding:
+    """Something wrong: which file, about which entry, and what."""
+
+    file: str
+    seq: int
+    what: str
+
+    def __str__(self) -> str:
+        return f"{self.file}: entry {self.seq}: {self.what}"
+
+
+@dataclass
+class Audit:
+    """What an audit came to. `notes` are no faults: torn tails, entries behind the last head."""
+
+    entries: int = 0
+    heads: int = 0
+    signed_to: int = 0
+    unsigned: int = 0
+    findings: list[Finding] = field(default_factory=list)
+    notes: list[str] = field(default_factory=list)
+
+
+def segments(disk: Disk, folder: Path) -> Iterator[Segment]:
+    for name in names_of_segments(disk):
+        yield read_segment(name, disk.read(name), folder / name)
+
+
+def _start(segment: Segment) -> dict[str, Any] | None:
+    """The START of a segment, if it holds any entry."""
+    first = next((e for _, e in segment.entries()), None)
+    if first is None:
+        return None
+    kind, _, fields = DECODER.decode(first)
+    return fields if kind == Kind.START else None
+
+
+def counted(disk: Disk, folder: Path) -> Iterator[tuple[str, int, bytes]]:
+    """The entries that count, in order: of each segment those before the one that the next segment follows.
+
+    Holds two segments at a time.
+    """
+    before: Segment | None = None
+    for segment in segments(disk, folder):
+        start = _start(segment)
+        if start is None:
+            continue  # nothing of it counts: a begin that failed
+        if before is not None:
+            yield from ((before.name, n, e) for n, e in before.entries() if n < start["follows"])
+        before = segment
+    if before is not None:
+        yield from ((before.name, n, e) for n, e in before.entries())
+
+
+def entries(folder: Path) -> Iterator[tuple[int, Entry]]:
+    """Decoded entries that count."""
+    for _, seq, data in counted(RealDisk(folder), folder):
+        yield seq, DECODER.decode(data)
+
+
+class Auditor:
+    """Walks a trail once, in memory bounded by two segments."""
+
+    def __init__(self, disk: Disk, folder: Path, public: bytes | None = None,
+                 published: list[Head] | None = None) -> None:
+        self.disk, self.folder, self.audit = disk, folder, Audit()
+        self.keys: dict[str, bytes] = {identity(public): public} if public else {}
+        self.pinned = public is not None
+        self.published = published or []
+
+    def run(self) -> Audit:
+        audit, chain, seq = self.audit, NO_LINK, 0
+        before: Segment | None = None
+        waiting = sorted(self.published, key=lambda h: h.seq)
+        for segment in segments(self.disk, self.folder):
+            if segment.damaged:
+                self._find(segment.name, seq, f"damaged at byte {segment.damaged.offset}: {segment.damaged}")
+            if segment.torn_at is not None:
+                audit.notes.append(f"{segment.name}: torn tail at byte {segment.torn_at}, as a crash leaves")
+            start = _start(segment)
+            if start is None:
+                if any(True for _ in segment.entries()):
+                    self._find(segment.name, seq, "does not begin with a START")
+                continue
+            if before is not None:
+                chain, seq = self._walk(before, chain, seq, int(start["follows"]), waiting)
+            if (start["follows"], bytes(start["link"])) != (seq, chain):
+                self._find(segment.name, seq, f"says that it follows entry {start['follows']}, and what is there is "
+                           "not what it names")
+                chain, seq = bytes(start["link"]), int(start["follows"])
+            self._key(segment.name, seq, start)
+            before = segment
+        if before is not None:
+            chain, seq = self._walk(before, chain, seq, 1 << 62, waiting)
+        for head in waiting:
+            self._find("", seq, f"a published head at entry {head.seq} lies beyond the trail: cut off behind it")
+        audit.entries, audit.unsigned = seq, seq - audit.signed_to
+        return audit
+
+    def _find(self, file: str, seq: int, what: str) -> None:
+        self.audit.findings.append(Finding(file, seq, what))
+
+    def _key(self, file: str, seq: int, start: dict[str, Any]) -> None:
+        name, public = start["key"], bytes(start["public"])
+        if identity(public) != name:
+            self._find(file, seq, "its key is not the one it names")
+        elif name not in self.keys:
+            old = self.keys.get(start.get("old", ""))
+            if old is not None and signed_well(old, handover_message(public), bytes(start.get("signed", b""))):
+                self.audit.notes.append(f"{file}: key {name} follows {start['old']}, which signed it")
+            elif self.keys:
+                self._find(file, seq, f"signed by {name}, which no earlier key handed over to")
+            elif not self.pinned:
+                self.audit.notes.append(f"{file}: key {name} taken from the trail itself; pin it with --public")
+            self.keys[name] = public
+
+    def _walk(self, segment: Segment, chain: bytes, seq: int, until: int, waiting: list[Head]) -> tuple[bytes, int]:
+        """Follow the chain through one segment, up to the entry that the next one follows."""
+        heads = [head for _, head in segment.heads()]
+        dropped = 0
+        for number, data in segment.entries():
+            if number >= until:
+                dropped += 1
+                continue
+            if number != seq:
+                self._find(segment.name, number, f"entry {seq} should come here")
+                seq = number
+            try:
+                kind, _, fields = DECODER.decode(data)
+            except msgspec.MsgspecError as trouble:
+                self._find(segment.name, number, f"no entry: {trouble}")
+                kind, fields = 0, {}
+            if kind == Kind.KEY:
+                self._handed_over(segment.name, number, fields)
+            chain, seq = link(chain, data), seq + 1
+            while heads and heads[0].seq == seq:
+                self._head(segment.name, heads.pop(0), chain)
+            while waiting and waiting[0].seq <= seq:
+                head = waiting.pop(0)
+                if head.seq == seq and head.chain != chain:
+                    self._find(segment.name, seq, "is not what a published head binds")
+        for head in heads:
+            if head.seq > until:
+                self._find(segment.name, head.seq, f"signed, and left out: the next file follows entry {until}")
+            else:
+                self._find(segment.name, head.seq, "a head that binds no entry here")
+        if dropped:
+            self.audit.notes.append(f"{segment.name}: {dropped} entries do not count; the next file wrote them "
+                                    "again or they were never confirmed")
+        return chain, seq
+
+    def _head(self, file: str, head: Head, chain: bytes) -> None:
+        public = self.keys.get(head.key)
+        if public is None or not signed_well(public, head.message(), head.signature):
+            self._find(file, head.seq, "a head whose signature is not good")
+        elif head.chain != chain:
+            self._find(file, head.seq, "the entries before this head are not those that were signed")
+        else:
+            self.audit.heads += 1
+            self.audit.signed_to = max(self.audit.signed_to, head.seq)
+
+    def _handed_over(self, file: str, seq: int, fields: dict[str, Any]) -> None:
+        public, old = bytes(fields.get("key", b"")), self.keys.get(fields.get("old", ""))
+        if old is None or not signed_well(old, handover_message(public), bytes(fields.get("signed", b""))):
+            self._find(file, seq, "a new key that the old one did not sign")
+        else:
+            self.keys[identity(public)] = public
+
+
+def audit(folder: Path, public: bytes | None = None, published: list[Head] | None = None) -> Audit:
+    """Audit a folder."""
+    return Auditor(RealDisk(folder), folder, public, published).run()
+
+
+def public_key(folder: Path) -> bytes:
+    return bytes.fromhex((folder / PUBLIC_FILE).read_text().strip())
--- /dev/null
+++ b/stepsail/umpire/account.py
@@ -0,0 +1,76 @@
+"""An umpire's trail as the daemon uses it: what is written when, and which answers may be given."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from stepsail.charter import Orders
+from stepsail.http import Response
+from stepsail.loop import Event, Loop, TimedOut
+from stepsail.trail.committer import Trail
+from stepsail.trail.entries import Kind, digest
+from stepsail.trail.policy import Full, Survives
+from stepsail.umpire.host import Held, Log
+
+RECEIPT = b"stepsail-receipt"
+MOST_RELAYS = 20  # of a transaction, told in its entry
+
+
+class Account:
+    """Does nothing where the orders name no trail."""
+
+    def __init__(self, loop: Loop, orders: Orders, log: Log) -> None:
+        self.loop, self.orders, self.log = loop, orders, log
+        self.trail: Trail | None = None
+        if orders.trail:
+            self.trail = Trail(orders.trail, orders.charter.me, Survives(orders.trail_survives),
+                               Full(orders.trail_when_full), loop.driver.post, self._says,
+                               segment=orders.trail_segment, reserve=orders.trail_reserve)
+
+    def _says(self, event: str, **fields: Any) -> None:
+        self.log.warning(event, **fields)
+
+    def takes_new(self) -> bool:
+        return self.trail is None or self.trail.takes_new()
+
+    def note(self, kind: Kind, **fields: Any) -> None:
+        """A decision or news, kept when it is kept."""
+        if self.trail:
+            self.trail.add(kind, **fields)
+
+    def answering(self, held: Held, product: int, answer: Response, until: float) -> bool:
+        """Record an answer before its first byte leaves; whether it may be given. Waits for the disk, to `until`."""
+        trail = self.trail
+        if trail is None:
+            return True
+        receipt = f"{self.orders.charter.me}-{trail.run}-{held.number}"
+        answer.headers = [*answer.headers, (RECEIPT, receipt.encode())]
+        kept, done = [False], Event(self.loop)
+
+        def settled(well: bool) -> None:
+            kept[0] = well
+            done.set()
+        label = held.request.header(b"idempotency-key")
+        waits = trail.add(
+            Kind.ANSWER, settled, receipt=receipt, product=self.orders.names[product], verdict=held.verdict,
+            status=answer.status, digest=digest(answer.status, answer.body) if answer.flow is None else "flow",
+            relays=held.story[:MOST_RELAYS], label=(label or b"").decode("latin-1"),
+            request=(held.request.header(b"x-request-id") or b"").decode("latin-1"))
+        if waits:
+            try:
+                done.wait(max(0.0, until - self.loop.now()), "the trail")
+            except TimedOut:
+                return False  # it may be kept later: an entry without its SENT, and the client has no answer
+        if not kept[0] and trail.keeping.answers_without():
+            trail.keeping.missed_one(self.loop.now())
+            return True
+        return kept[0]
+
+    def answered(self, held: Held, whole: bool) -> None:
+        if self.trail:
+            receipt = f"{self.orders.charter.me}-{self.trail.run}-{held.number}"
+            self.trail.add(Kind.SENT, receipt=receipt, whole=whole)
+
+    def close(self) -> None:
+        if self.trail:
+            self.trail.close()
--- a/stepsail/umpire/conveyor.py
+++ b/stepsail/umpire/conveyor.py
@@ -8,6 +8,8 @@
 from stepsail.charter import Orders
 from stepsail.interface import Receipt, Verdict
 from stepsail.loop import Loop
+from stepsail.trail.entries import Kind
+from stepsail.umpire.account import Account
 from stepsail.umpire.caller import Caller, CallFailed
 from stepsail.umpire.host import Host, Log
 from stepsail.umpire.messages import NEWS, PHASES, RECEIPTS, VOTED
@@ -20,8 +22,9 @@
 class Conveyor:
     """Hears of the release and votes on it."""
 
-    def __init__(self, loop: Loop, orders: Orders, host: Host, log: Log, seed: int) -> None:
+    def __init__(self, loop: Loop, orders: Orders, host: Host, log: Log, seed: int, account: Account) -> None:
         self.loop, self.orders, self.host, self.log, self.seed = loop, orders, host, log, seed
+        self.account, self.seen = account, (-1, 0, "", 0.0)
         self.votes, self.draws, self.heard = 0, 0, False
 
     def chance(self) -> float:
@@ -54,6 +57,10 @@
         if state is None:
             return
         self.heard = True
+        seen = (state["build"], state["stage"], state["phase"], state["cap"])
+        if seen != self.seen:
+            self.seen = seen
+            self.account.note(Kind.NEWS, build=seen[0], stage=seen[1], phase=seen[2], cap=seen[3])
         self.host.tell(self.host.umpire.release_news, float(state["age"]), float(state["cap"]),
                        state["build"], state["stage"], PHASES[state["phase"]])
 
@@ -76,6 +83,7 @@
             finally:
                 self.votes -= 1
                 caller.close()
+        self.account.note(Kind.VOTED, build=build, stage=stage, receipt=receipt.name.lower())
         self.log.info("vote_answered", build=build, stage=stage, receipt=receipt.name.lower())
         if receipt is Receipt.COUNTED:
             self._state(state)
--- a/stepsail/umpire/door.py
+++ b/stepsail/umpire/door.py
@@ -13,6 +13,7 @@
 from stepsail.http import BadMessage, Bounds, Inlet, Request, Response, encode_response
 from stepsail.http.message import chunk, encode_response_start
 from stepsail.loop import Closed, Listener, Loop, Stream, TimedOut
+from stepsail.umpire.account import Account
 from stepsail.umpire.host import Held, Host, Log
 from stepsail.umpire.messages import CONTESTED
 
@@ -31,8 +32,8 @@
     """Bounds: `door_connections` clients, `most_open` transactions; beyond those a transaction is denied at
     once, before the module hears of it, and nothing has run."""
 
-    def __init__(self, loop: Loop, orders: Orders, host: Host, log: Log) -> None:
-        self.loop, self.orders, self.host, self.log = loop, orders, host, log
+    def __init__(self, loop: Loop, orders: Orders, host: Host, log: Log, account: Account) -> None:
+        self.loop, self.orders, self.host, self.log, self.account = loop, orders, host, log, account
         self.bounds = Bounds(orders.most_head, orders.most_body, orders.hold, orders.door_idle,
                              orders.slow_sender)
         self.listener: Listener | None = None
@@ -151,9 +152,11 @@
         if client_until <= now:
             stream.abort()  # nobody waits any more, and nothing was begun
             return False
-        held = Held(self.number, request, client_until - self.orders.answer_slack, client_until)
+        slack = self.orders.answer_slack + self.orders.trail_commit
+        held = Held(self.number, request, client_until - slack, client_until)
         self.number += 1
-        if len(self.host.held) >= self.orders.most_open or held.until <= now:
+        full = len(self.host.held) >= self.orders.most_open or not self.account.takes_new()
+        if full or held.until <= now:
             held.stay_away = charter.longest_stay_away
             held.close("denied")
         else:
@@ -163,7 +166,7 @@
             self.host.take(held, product, tenant, key, request.header(REPEAT) is not None)
             if not self._await(inlet, held):
                 return False
-        return self._answer(stream, request, held)
+        return self._answer(stream, request, held, product)
 
     def _hashed(self, subject: bytes) -> int:
         """What the module knows a subject by: equal for equal ones, and telling nothing without the secret."""
@@ -172,7 +175,8 @@
 
     def _await(self, inlet: Inlet, held: Held) -> bool:
         """Wait for the final answer; False when the client is gone."""
-        loop, forced_at = self.loop, (held.until + held.client_until) / 2  # time is left to write it
+        # Time is left to keep and to write it.
+        loop, forced_at = self.loop, held.until + self.orders.answer_slack / 2
         while not held.closed:
             held.waiter = waiter = loop.waiter()
             try:
@@ -196,7 +200,7 @@
                 return False
         return True
 
-    def _answer(self, stream: Stream, request: Request, held: Held) -> bool:
+    def _answer(self, stream: Stream, request: Request, held: Held, product: int) -> bool:
         now = self.loop.now()
         self.host.counts[held.verdict] += 1
         if now >= held.client_until:
@@ -210,6 +214,16 @@
             answer = Response(503, [JSON, (b"retry-after", wait)], DENIED % held.stay_away)
         elif answer is None:
             answer = Response(504 if now >= held.until - 0.1 else 502, [JSON], ERRORED)
+        if not self.account.answering(held, product, answer, held.client_until):
+            stream.abort()  # no client may hold an answer that the trail lacks
+            self.log.warning("answer_not_kept", transaction=held.number)
+            self.host.forget_if_over(held)
+            return False
+        now = self.loop.now()
+        if now >= held.client_until:
+            stream.abort()
+            return False
+        whole = False
         keep = request.keep_alive and not self.leaving and (request.flow is None or request.flow.done)
         try:
             if answer.flow:
@@ -217,6 +231,7 @@
                 self._stream(stream, request, held, answer, keep)
             else:
                 stream.write(self._encode(answer, request, keep), held.client_until - now)
+            whole = True
         except TimedOut:
             stream.abort()
             self.log.warning("client_read_too_slowly", transaction=held.number)
@@ -225,6 +240,7 @@
             stream.abort()  # the server's answer broke off: a reset tells the client that it is not whole
             return False
         finally:
+            self.account.answered(held, whole)
             self.host.forget_if_over(held)
         if not keep and request.flow is not None:
             stream.half_close()
--- a/stepsail/umpire/host.py
+++ b/stepsail/umpire/host.py
@@ -35,7 +35,7 @@
     """A transaction that this umpire has taken and not answered: the door's side of the module's handle."""
 
     __slots__ = ("answer", "client_until", "closed", "handle", "number", "relays", "out", "request", "stay_away",
-                 "until", "streams", "verdict", "waiter")
+                 "until", "story", "streams", "verdict", "waiter")
 
     def __init__(self, number: int, request: Request, until: float, client_until: float) -> None:
         self.number, self.request, self.until, self.client_until = number, request, until, client_until
@@ -44,6 +44,7 @@
         self.answer: Response | None = None
         self.verdict = ""  # handled, denied, errored, or left
         self.closed, self.stay_away = False, 0.0
+        self.story: list[tuple[str, str]] = []  # each relay's server and how it ended
         self.out = 0  # relays that have not ended
         self.streams = -1  # the relay whose answer is being passed on as it comes
         self.waiter: Waiter | None = None
@@ -87,6 +88,7 @@
         self.held: dict[int, Held] = {}
         self.servers: dict[bytes, ServerHandle] = {}
         self.timers, self.taken, self.faults = 0, 0, 0
+        self.last_note = ""
         self.counts = {"handled": 0, "denied": 0, "errored": 0, "left": 0}
 
     def start(self, make: MakeUmpire, doers: Doers, seed: int) -> None:
@@ -123,6 +125,7 @@
                     answer: Response | None) -> None:
         """The first handled relay is the transaction's final answer; the module hears of it as that."""
         held.out -= 1
+        held.story[relay] = (held.story[relay][0], outcome.name.lower())
         if outcome is Outcome.HANDLED:
             held.close("handled", answer)
         if held.handle is not None:
@@ -152,6 +155,7 @@
         held = self._held(transaction)
         held.out += 1
         held.relays.append(self.doers.relay(held, server, until))
+        held.story.append((server.address.decode(), "out"))
         if self.verbose:
             self.log.debug("relay", transaction=held.number, relay=len(held.relays) - 1,
                            server=server.address.decode(), build=getattr(server, "build", None))
@@ -207,4 +211,5 @@
         self.doers.tell_found(build, stage, verdict)
 
     def note(self, text: str) -> None:
+        self.last_note = text
         self.log.info("note", text=text)
--- a/stepsail/umpire/life.py
+++ b/stepsail/umpire/life.py
@@ -12,6 +12,8 @@
 from stepsail.charter import Orders
 from stepsail.interface import MakeUmpire, ServerHandle, Verdict
 from stepsail.loop import Event, Loop, Task
+from stepsail.trail.entries import Kind
+from stepsail.umpire.account import Account
 from stepsail.umpire.conveyor import Conveyor
 from stepsail.umpire.door import Door
 from stepsail.umpire.host import Held, Host, Log
@@ -31,9 +33,10 @@
         self.seed = orders.seed if orders.seed is not None else int.from_bytes(os.urandom(6), "big")
         self.host = Host(loop, orders, log, verbose)
         self.nodes = Nodes(loop, orders, self.host)
-        self.door = Door(loop, orders, self.host, log)
-        self.conveyor = Conveyor(loop, orders, self.host, log, self.seed)
-        self.roster = Roster(loop, orders, self.host, log, self.seed)
+        self.account = Account(loop, orders, log)
+        self.door = Door(loop, orders, self.host, log, self.account)
+        self.conveyor = Conveyor(loop, orders, self.host, log, self.seed, self.account)
+        self.roster = Roster(loop, orders, self.host, log, self.seed, self.account)
         self.neighbours = Neighbours(loop, orders, self.host)
         self.stopped = Event(loop)
         self.capture: CaptureWriter | None = None
@@ -53,6 +56,7 @@
         self.nodes.probe(server)
 
     def vote(self, build: int, stage: int, verdict: Verdict) -> None:
+        self.account.note(Kind.VOTE, build=build, stage=stage, verdict=verdict.name.lower(), why=self.host.last_note)
         self.conveyor.vote(build, stage, verdict)
 
     def ask_roster(self) -> None:
@@ -113,6 +117,7 @@
             self.roster.keep()
         if self.capture:
             self.capture.close()
+        self.account.close()
         left = sum(not h.closed for h in self.host.held.values())
         self.log.info("left", taken=self.host.taken, unanswered=left, **self.host.counts)
         return 3 if scope.expired else 0
--- a/stepsail/umpire/roster.py
+++ b/stepsail/umpire/roster.py
@@ -12,6 +12,8 @@
 
 from stepsail.charter import Orders
 from stepsail.loop import Event, Loop, Task
+from stepsail.trail.entries import Kind
+from stepsail.umpire.account import Account
 from stepsail.umpire.caller import Caller, CallFailed
 from stepsail.umpire.host import Host, Log
 from stepsail.umpire.messages import ROSTER, STATES
@@ -25,8 +27,9 @@
 class Roster:
     """Hands each list to the module, whole or as changes, in order."""
 
-    def __init__(self, loop: Loop, orders: Orders, host: Host, log: Log, seed: int) -> None:
+    def __init__(self, loop: Loop, orders: Orders, host: Host, log: Log, seed: int, account: Account) -> None:
         self.loop, self.orders, self.host, self.log, self.seed = loop, orders, host, log, seed
+        self.account = account
         self.draws, self.seq = 0, 0
         self.lines: dict[str, dict[str, Any]] = {}
         self.starts: dict[str, tuple[str, float]] = {}
@@ -95,6 +98,9 @@
         if whole:
             self.lines = {}
         for line in lines:
+            before = self.lines.get(line["address"], {}).get("state")
+            if line["state"] != "ready" and line["state"] != before:
+                self.account.note(Kind.DRAIN, server=line["address"], state=line["state"])
             self.lines[line["address"]] = line
         self.host.tell(self._tell, lines, whole, cached)
         if self.lines:
--- a/tests/capture/test_format.py
+++ b/tests/capture/test_format.py
@@ -19,11 +19,12 @@
 
 from stepsail import balance
 from stepsail.capture import CaptureWriter, Damaged, read_segment, replay
-from stepsail.capture.blocks import LENGTH, TITLE, Kind, block
+from stepsail.capture.blocks import TITLE, Kind, block
 from stepsail.capture.entries import ENCODER, Entry, Told
 from stepsail.capture.folder import cut, read_runs, replay_stretch, write_segment
 from stepsail.capture.replay import CannotReplay
 from stepsail.interface import Outcome, Phase, Verdict
+from stepsail.store.frames import LENGTH
 
 META: dict[str, Any] = {
     "format": 2, "run": "abc", "segment": 0, "umpire": 0, "seed": 7, "charter": msgspec.to_builtins(charter()),
--- /dev/null
+++ b/tests/trail/test_trail.py
@@ -0,0 +1,406 @@
+"""The trail: crashes at every write, full and failing disks, doctored files, keys, two writers."""
+
+from __future__ import annotations
+
+import errno
+import os
+import time
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from stepsail.standins.disk import PowerLost, SimDisk
+from stepsail.store.frames import LENGTH, frame
+from stepsail.trail.committer import Locked, Trail
+from stepsail.trail.entries import DECODER, Kind, encode
+from stepsail.trail.keys import Key, KeyTrouble
+from stepsail.trail.log import TITLE, Head, Part, TrailLog, names_of_segments, read_segment, unpack
+from stepsail.trail.policy import RETRY, Full, Keeping, Survives
+from stepsail.trail.reader import Auditor, audit, counted, entries, public_key
+from stepsail.trail.reconcile import merge, reconcile
+
+
+def answer(number: int) -> bytes:
+    return encode(Kind.ANSWER, 1000.0 + number, receipt=f"r{number}", verdict="handled", status=200, digest="d")
+
+
+def receipts(disk: Any, folder: Path) -> list[str]:
+    decoded = [DECODER.decode(data) for _, _, data in counted(disk, folder)]
+    return [fields["receipt"] for kind, _, fields in decoded if kind == Kind.ANSWER]
+
+
+def play(disk: SimDisk, key: Key, folder: Path, told: list[int], rounds: int = 6, begin_at: int = 0) -> None:
+    """A life of a writer: batches that are synced and told, a head now and then, a rotation."""
+    log = TrailLog(disk, 0, "run", key, folder)
+    log.recover()
+    log.begin(1.0, [])
+    number = begin_at
+    for at in range(rounds):
+        batch = list(range(number, number + 1 + at % 3))
+        number += len(batch)
+        log.append([answer(n) for n in batch], 1.0)
+        log.sync()
+        told += batch
+        if at % 2:
+            log.head(1.0)
+        if at == 3:
+            log.close(1.0)
+            log.begin(1.0, [])
+
+
+def test_a_crash_at_every_write_and_whatever_the_disk_kept_of_it(tmp_path: Path) -> None:
+    """Every entry whose sync came back is there once and in order; nothing that is torn counts; the audit agrees."""
+    key = Key.make(tmp_path)
+    whole = SimDisk()
+    play(whole, key, tmp_path, [])
+    for stop in range(whole.calls):
+        for seed in range(12):
+            disk, told = SimDisk(), list[int]()
+            disk.stop_at = stop
+            with pytest.raises(PowerLost):
+                play(disk, key, tmp_path, told)
+            found = disk.after_power_loss(Random(stop * 100 + seed), keep_all=seed == 0)
+            more: list[int] = []
+            play(found, key, tmp_path, more, begin_at=1000)
+            seen = receipts(found, tmp_path)
+            assert len(seen) == len(set(seen))
+            assert [r for r in seen if r in {f"r{n}" for n in told + more}] == [f"r{n}" for n in told + more]
+            report = Auditor(found, tmp_path, key.public).run()
+            wrong = [f for f in report.findings if "damaged at byte" not in f.what]
+            assert wrong == [], (stop, seed, wrong)
+
+
+def test_a_failed_sync_is_never_tried_again_on_the_same_file(tmp_path: Path) -> None:
+    disk = SimDisk()
+    done: list[tuple[int, bool]] = []
+    trail = made(tmp_path, disk, done)
+    add(trail, 0, done)
+    wait(lambda: len(done) == 1)
+    disk.fail = {disk.calls + 1: errno.EIO}  # the write goes through, the sync does not
+    add(trail, 1, done)
+    wait(lambda: len(done) == 2)
+    add(trail, 2, done)
+    wait(lambda: len(done) == 3)
+    trail.close()
+    assert done == [(0, True), (1, True), (2, True)]
+    assert receipts(disk, tmp_path) == ["r0", "r1", "r2"] and len(names_of_segments(disk)) == 2
+    assert Auditor(disk, tmp_path, trail.log.key.public).run().findings == []
+
+
+def made(folder: Path, disk: Any, done: list[tuple[int, bool]], full: Full = Full.DENY,
+         survives: Survives = Survives.POWER, **how: int) -> Trail:
+    return Trail(folder, 0, survives, full, lambda call: call(), lambda event, **fields: None, disk, **how)
+
+
+def add(trail: Trail, number: int, done: list[tuple[int, bool]]) -> bool:
+    return trail.add(Kind.ANSWER, lambda kept: done.append((number, kept)), receipt=f"r{number}", verdict="handled",
+                     status=200, digest="d")
+
+
+def wait(until: Callable[[], bool], within: float = 5.0) -> None:
+    end = time.monotonic() + within
+    while not until():
+        assert time.monotonic() < end
+        time.sleep(0.002)
+
+
+@pytest.mark.parametrize("kind", list(Kind))
+def test_a_full_disk_at_every_kind_of_entry_loses_nothing_that_was_told(tmp_path: Path, kind: Kind) -> None:
+    disk, done = SimDisk(), list[tuple[int, bool]]()
+    trail = made(tmp_path, disk, done, reserve=1 << 16)
+    add(trail, 0, done)
+    wait(lambda: len(done) == 1)
+    disk.room = 20  # what comes next is torn
+    trail.add(kind, lambda kept: done.append((1, kept)), receipt="x", link=b"", follows=0)
+    wait(lambda: len(done) == 2)
+    assert done[1] == (1, True)  # from the reserve
+    assert not trail.takes_new()
+    add(trail, 2, done)
+    wait(lambda: len(done) == 3)
+    trail.close()
+    assert receipts(disk, tmp_path)[0] == "r0" and receipts(disk, tmp_path)[-1] == "r2"
+    assert Auditor(disk, tmp_path, trail.log.key.public).run().findings == [] or kind in (Kind.KEY, Kind.START)
+
+
+@pytest.mark.parametrize("full", list(Full))
+def test_a_disk_that_stays_full_is_told_of_and_the_trail_goes_on_when_there_is_room(
+        tmp_path: Path, full: Full, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("stepsail.trail.policy.RETRY", 0.05)
+    monkeypatch.setattr("stepsail.trail.policy.RENEW_RESERVE", 0.05)
+    monkeypatch.setattr("stepsail.trail.committer.IDLE", 0.02)
+    disk, done = SimDisk(), list[tuple[int, bool]]()
+    trail = made(tmp_path, disk, done, full, reserve=100)
+    disk.room = -1000
+    for number in range(3):
+        add(trail, number, done)
+        wait(lambda number=number: len(done) == number + 1)  # type: ignore[misc]
+    assert done[-1] == (2, False) and trail.takes_new() is (full is Full.GO_ON)
+    if trail.keeping.answers_without():
+        trail.keeping.missed_one(5.0)
+    disk.room = 1 << 30
+    wait(trail.takes_new)
+    wait(lambda: trail.keeping.well and trail.keeping.reserve)
+    add(trail, 9, done)
+    wait(lambda: done[-1] == (9, True))
+    trail.close()
+    gaps = [DECODER.decode(d)[2] for _, _, d in counted(disk, tmp_path) if DECODER.decode(d)[0] == Kind.GAP]
+    assert gaps and gaps[-1]["answers"] == (1 if full is Full.GO_ON else 0)
+    assert receipts(disk, tmp_path)[-1] == "r9"
+    assert Auditor(disk, tmp_path, trail.log.key.public).run().findings == []
+
+
+def test_the_keeping_decides_without_a_clock() -> None:
+    keeping = Keeping(Full.DENY)
+    assert keeping.takes_new() and keeping.failed(10.0, "full") and not keeping.takes_new() and keeping.well
+    assert not keeping.failed(11.0, "full") and not keeping.well
+    assert not keeping.may_try(11.0) and keeping.may_try(11.0 + RETRY)
+    keeping.went_well()
+    assert not keeping.takes_new() and not keeping.renews(11.5) and keeping.renews(30.0)
+
+
+def test_two_umpires_on_one_folder_and_the_second_refuses(tmp_path: Path) -> None:
+    trail = made(tmp_path, None, [])
+    with pytest.raises(Locked, match="another process"):
+        made(tmp_path, None, [])
+    trail.close()
+    made(tmp_path, None, []).close()
+
+
+def test_a_lost_key_a_wrong_key_and_an_open_key_are_told_apart(tmp_path: Path) -> None:
+    made(tmp_path, None, []).close()
+    key = (tmp_path / "key").read_bytes()
+    assert (tmp_path / "key").stat().st_mode & 0o077 == 0
+    (tmp_path / "key").rename(tmp_path / "away")
+    with pytest.raises(KeyTrouble, match="key is lost"):
+        made(tmp_path, None, [])
+    Key.make(tmp_path)
+    with pytest.raises(KeyTrouble, match="wrong key"):
+        made(tmp_path, None, [])
+    (tmp_path / "key").write_bytes(key)
+    os.chmod(tmp_path / "key", 0o644)
+    with pytest.raises(KeyTrouble, match="read by others"):
+        made(tmp_path, None, [])
+    os.chmod(tmp_path / "key", 0o600)
+    made(tmp_path, None, []).close()
+
+
+@pytest.mark.parametrize("lost", [False, True])
+def test_a_new_key_is_signed_over_by_the_old_one_or_found_out(tmp_path: Path, lost: bool) -> None:
+    made(tmp_path, None, []).close()
+    public = public_key(tmp_path)
+    if lost:
+        (tmp_path / "key").unlink()
+    Key.follow(tmp_path)
+    made(tmp_path, None, []).close()
+    found = audit(tmp_path, public)
+    assert [f for f in found.findings if "no earlier key" in f.what] if lost else found.findings == []
+    assert found.heads >= (1 if lost else 3)
+
+
+def written(folder: Path, count: int = 40) -> list[Head]:
+    """A closed trail of two segments on disk, and its heads."""
+    done: list[tuple[int, bool]] = []
+    trail = made(folder, None, done)
+    for number in range(count):
+        add(trail, number, done)
+        if number % 10 == 9:
+            wait(lambda number=number: len(done) == number + 1)  # type: ignore[misc]
+    wait(lambda: len(done) == count)
+    trail.close()
+    trail = made(folder, None, done)
+    add(trail, count, done)
+    wait(lambda: len(done) == count + 1)
+    trail.close()
+    return [h for f in sorted(folder.glob("*.trail")) for _, h in read_segment(f.name, f.read_bytes(), f).heads()]
+
+
+def rewritten(file: Path, change: Callable[[list[bytes]], list[bytes]]) -> None:
+    """Change a segment's entries and make every checksum right again; the heads stay as they were signed."""
+    segment = read_segment(file.name, file.read_bytes(), file)
+    everything = [e for f in segment.frames if f.kind == Part.BATCH for e in unpack(segment.data[f.start:f.end])]
+    head_frames = [f for f in segment.frames if f.kind == Part.HEAD]
+    changed = change(list(everything))
+    first = next(f.first for f in segment.frames if f.kind == Part.BATCH)
+    payload = b"".join(LENGTH.pack(len(e)) + e for e in changed)
+    data = TITLE + frame(Part.BATCH, payload, first, 0.0)
+    for one in head_frames:
+        data += frame(Part.HEAD, segment.data[one.start:one.end], one.first, one.clock)
+    file.write_bytes(data)
+
+
+def edited(entry: bytes) -> bytes:
+    kind, wall, fields = DECODER.decode(entry)
+    return encode(Kind(kind), wall, **(fields | {"status": 201}))
+
+
+DOCTORED: dict[str, Callable[[list[bytes]], list[bytes]]] = {
+    "removed": lambda e: e[:5] + e[6:], "swapped": lambda e: [*e[:5], e[6], e[5], *e[7:]],
+    "doubled": lambda e: [*e[:5], e[5], *e[5:]], "edited": lambda e: [*e[:5], edited(e[5]), *e[6:]],
+    "put in": lambda e: [*e[:5], answer(999), *e[5:]], "last removed": lambda e: e[:-1],
+    "first answer removed": lambda e: [e[0], *e[2:]]}
+
+
+@pytest.mark.parametrize("how", list(DOCTORED))
+def test_a_doctored_entry_is_found_though_every_checksum_is_right(tmp_path: Path, how: str) -> None:
+    written(tmp_path)
+    assert audit(tmp_path, public_key(tmp_path)).findings == []
+    rewritten(sorted(tmp_path.glob("*.trail"))[0], DOCTORED[how])
+    assert audit(tmp_path, public_key(tmp_path)).findings != []
+
+
+def test_cut_behind_a_published_head_is_found(tmp_path: Path) -> None:
+    heads = written(tmp_path)
+    files = sorted(tmp_path.glob("*.trail"))
+    assert audit(tmp_path, public_key(tmp_path), heads).findings == []
+    files[-1].unlink()  # the rest is a good trail by itself
+    assert audit(tmp_path, public_key(tmp_path)).findings == []
+    found = audit(tmp_path, public_key(tmp_path), heads).findings
+    assert any("cut off behind it" in str(f) for f in found)
+
+
+def test_a_trail_signed_anew_by_another_key_is_found(tmp_path: Path) -> None:
+    written(tmp_path)
+    public = public_key(tmp_path)
+    other = tmp_path / "other"
+    other.mkdir()
+    written(other)
+    assert audit(other, public).findings != []
+
+
+def test_one_flipped_bit_anywhere_is_found(tmp_path: Path) -> None:
+    written(tmp_path, 12)
+    file = sorted(tmp_path.glob("*.trail"))[0]
+    data, public = file.read_bytes(), public_key(tmp_path)
+    for at in range(0, len(data), 7):
+        changed = bytearray(data)
+        changed[at] ^= 1 << (at % 8)
+        file.write_bytes(changed)
+        assert audit(tmp_path, public).findings, at
+
+
+def test_a_torn_tail_at_every_byte_is_no_damage_and_the_next_life_goes_on_behind_it(tmp_path: Path) -> None:
+    key = Key.make(tmp_path)
+    disk = SimDisk()
+    log = TrailLog(disk, 0, "run", key, tmp_path)
+    log.begin(1.0, [])
+    log.append([answer(0)], 1.0)
+    sure = log.size
+    log.append([answer(1)], 1.0)
+    (name,) = names_of_segments(disk)
+    data = disk.read(name)
+    for at in range(sure, len(data) + 1):
+        torn = SimDisk()
+        torn.reserve(name, 0)
+        torn.files[name].data = bytearray(data[:at])
+        again = TrailLog(torn, 0, "run", key, tmp_path)
+        again.recover()
+        again.begin(2.0, [answer(2)])
+        assert receipts(torn, tmp_path) == (["r0", "r1", "r2"] if at == len(data) else ["r0", "r2"])
+        assert Auditor(torn, tmp_path, key.public).run().findings == []
+
+
+def test_recovery_reads_the_last_segment_and_not_the_trail(tmp_path: Path) -> None:
+    key, disk = Key.make(tmp_path), SimDisk()
+    log = TrailLog(disk, 0, "run", key, tmp_path)
+    for life in range(30):
+        log.recover()
+        log.begin(1.0, [answer(life)])
+        log.abandon()
+    reads: list[str] = []
+    real = disk.read
+    disk.read = lambda name: reads.append(name) or real(name)  # type: ignore[func-returns-value, method-assign]
+    again = TrailLog(disk, 0, "run", key, tmp_path)
+    again.recover()
+    assert (again.seq, again.chain, len(reads)) == (log.seq, log.chain, 1)
+
+
+def test_a_clock_set_back_changes_nothing_of_the_order(tmp_path: Path) -> None:
+    key, disk = Key.make(tmp_path), SimDisk()
+    log = TrailLog(disk, 0, "run", key, tmp_path)
+    log.begin(1000.0, [answer(0)])
+    log.append([answer(1)], 5.0)
+    log.close(4.0)
+    log.begin(1.0, [answer(2)])
+    assert receipts(disk, tmp_path) == ["r0", "r1", "r2"]
+    assert Auditor(disk, tmp_path, key.public).run().findings == []
+
+
+def test_a_reader_works_beside_a_live_writer(tmp_path: Path) -> None:
+    done: list[tuple[int, bool]] = []
+    trail = made(tmp_path, None, done)
+    for number in range(200):
+        add(trail, number, done)
+        if number % 20 == 0:
+            assert audit(tmp_path, public_key(tmp_path)).findings == []
+    wait(lambda: len(done) == 200)
+    assert [f["receipt"] for _, (k, _, f) in entries(tmp_path) if k == Kind.ANSWER] == [f"r{n}" for n in range(200)]
+    trail.close()
+
+
+def line(number: int, **changed: Any) -> dict[str, Any]:
+    return {"receipt": f"r{number}", "verdict": "handled", "status": 200, "digest": "d"} | changed
+
+
+@pytest.mark.parametrize(("clients", "said"), [
+    ([line(0), line(1)], ""), ([line(0)], ""), ([line(7)], "not in the trail"),
+    ([line(0), line(0)], "received twice"),
+    ([line(0, status=201)], "something else"), ([line(0, digest="e")], "something else"),
+    ([line(0, receipt="")], "no receipt")])
+def test_clients_against_the_trail(clients: list[dict[str, Any]], said: str) -> None:
+    trail = [(n, DECODER.decode(answer(n))) for n in range(2)]
+    found = reconcile(trail, clients)
+    assert (found.faults == []) if not said else said in found.faults[0]
+    assert reconcile([*trail, trail[0]], []).faults == ["entry 0: r0 stands twice"]
+
+
+def test_one_transaction_at_two_umpires_is_one_story() -> None:
+    def told(wall: float, verdict: str) -> tuple[int, Any]:
+        return 0, DECODER.decode(encode(Kind.ANSWER, wall, receipt=f"x{wall}", verdict=verdict, label="visit-1",
+                                        request="1-0"))
+    stories = merge({"b": [told(2.0, "handled")], "a": [told(1.0, "denied")]})
+    assert [(n, f["verdict"]) for _, n, f in stories["visit-1"]] == [("a", "denied"), ("b", "handled")]
+
+
+@settings(max_examples=60, derandomize=True, deadline=None)
+@given(st.lists(st.integers(0, 4), min_size=3, max_size=25), st.integers(0, 1 << 30))
+def test_random_lives_with_random_failures_keep_what_was_told(tmp_path_factory: pytest.TempPathFactory,
+                                                               steps: list[int], seed: int) -> None:
+    folder = tmp_path_factory.mktemp("trail")
+    key, random, disk = Key.make(folder), Random(seed), SimDisk()
+    log = TrailLog(disk, 0, "run", key, folder)
+    told: list[str] = []
+    for number, step in enumerate(steps):
+        try:
+            if step == 0 or log.fd is None:
+                if step == 0:  # a crash
+                    disk = disk.after_power_loss(random)
+                    log = TrailLog(disk, 0, "run", key, folder)
+                log.recover()
+                log.begin(1.0, [])
+            if step == 1:
+                disk.fail = {disk.calls + random.randint(0, 2): errno.EIO}
+            before = (log.seq, log.chain)
+            log.append([answer(number)], 1.0)
+            log.sync()
+            told.append(f"r{number}")
+            if step == 3:
+                log.head(1.0)
+        except OSError:
+            log.abandon()
+            log.back_to(*before) if "before" in dir() else None
+    disk = disk.after_power_loss(random)
+    log = TrailLog(disk, 0, "run", key, folder)
+    log.recover()
+    log.begin(2.0, [])
+    seen = receipts(disk, folder)
+    assert [r for r in seen if r in told] == told and len(seen) == len(set(seen))
+
+
+def test_numbers_of_kinds_are_never_used_for_something_else() -> None:
+    assert [k.value for k in Kind] == list(range(1, 11)) and msgspec.msgpack.decode(answer(1))[0] == 2
