--- a/stepsail/trail/committer.py
+++ b/stepsail/trail/committer.py
@@ -143,6 +143,8 @@
         entries = [entry for entry, _ in batch]
         kept = self.keeping.well and self._write(entries)
         dones = [done for _, done in batch if done]
+        if not kept and self.keeping.answers_without():
+            self.keeping.missing(len(dones), time.time())
         if dones:
             self.post(lambda: [done(kept) for done in dones])
 
@@ -176,11 +178,16 @@
         now, keeping = time.monotonic(), self.keeping
         try:
             if keeping.may_try(now):
-                gap = encode(Kind.GAP, time.time(), answers=keeping.missed, why=keeping.why,
+                told = keeping.told
+                gap = encode(Kind.GAP, time.time(), answers=keeping.gap(), why=keeping.why,
                              since=keeping.missed_since)
-                self.log.begin(time.time(), [gap])
+                try:
+                    self.log.begin(time.time(), [gap])
+                except OSError:
+                    keeping.told = told
+                    raise
                 keeping.went_well()
-                keeping.missed = 0
+                keeping.missed_since = 0.0
                 self._say("trail_goes_on")
             elif self.log.fd is not None and self.log.size >= self.segment:
                 self.log.close(time.time())
--- a/stepsail/trail/policy.py
+++ b/stepsail/trail/policy.py
@@ -38,7 +38,8 @@
 
     def __init__(self, full: Full) -> None:
         self.full, self.well, self.reserve, self.retry_at, self.renew_at = full, True, True, 0.0, 0.0
-        self.missed, self.missed_since, self.why = 0, 0.0, ""
+        # Counts that only grow, each by one thread alone; a gap entry tells the difference to the last one.
+        self.missed, self.unqueued, self.told, self.missed_since, self.why = 0, 0, 0, 0.0, ""
 
     def failed(self, now: float, why: str) -> bool:
         """A write or sync failed. Whether to spend the reserve and try at once in a new segment."""
@@ -71,6 +72,12 @@
         """Whether an answer that cannot be recorded is given all the same."""
         return self.full is Full.GO_ON
 
-    def missed_one(self, wall: float) -> None:
-        self.missed_since = self.missed_since if self.missed else wall
-        self.missed += 1
+    def missing(self, answers: int, wall: float) -> None:
+        """So many answers could not be kept, and are given all the same."""
+        self.missed_since = self.missed_since or wall
+        self.missed += answers
+
+    def gap(self) -> int:
+        """Answers since the last gap entry that the trail lacks; from now on they count as told."""
+        lacking, self.told = self.missed + self.unqueued - self.told, self.missed + self.unqueued
+        return lacking
--- a/stepsail/umpire/account.py
+++ b/stepsail/umpire/account.py
@@ -61,10 +61,9 @@
                 done.wait(max(0.0, until - self.loop.now()), "the trail")
             except TimedOut:
                 return False  # it may be kept later: an entry without its SENT, and the client has no answer
-        if not kept[0] and trail.keeping.answers_without():
-            trail.keeping.missed_one(self.loop.now())
-            return True
-        return kept[0]
+        elif trail.keeping.answers_without():
+            trail.keeping.unqueued += 1
+        return kept[0] or trail.keeping.answers_without()
 
     def answered(self, held: Held, whole: bool) -> None:
         if self.trail:
