--- /dev/null
+++ b/bench/fuzz.py
@@ -0,0 +1,35 @@
+"""Long runs of the generated tests of the HTTP ends, the settings and the captures, with fresh chance each time.
+
+    python bench/fuzz.py --examples 50000
+"""
+
+from __future__ import annotations
+
+import sys
+import time
+from pathlib import Path
+
+import click
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+ROOT = Path(__file__).parent.parent
+for folder in ("tests", "tests/http", "tests/charter"):
+    sys.path.insert(0, str(ROOT / folder))
+
+
+@click.command()
+@click.option("--examples", default=50000)
+def main(examples: int) -> None:
+    import test_reader
+    import test_settings
+    how = settings(max_examples=examples, deadline=None, database=None)
+    for name, run in (("http", how(given(*test_reader.ANY_BYTES)(test_reader.any_bytes))),
+                      ("settings", how(given(st.text(max_size=80))(test_settings.any_line)))):
+        start = time.monotonic()
+        run()
+        click.echo(f"{name}: {examples} examples in {time.monotonic() - start:.0f} s, no failure")
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/charter/test_settings.py
+++ b/tests/charter/test_settings.py
@@ -136,6 +136,10 @@
 @settings(max_examples=300, derandomize=True, deadline=None)
 @given(st.text(max_size=60))
 def test_any_line_is_taken_apart_or_turned_away(text: str) -> None:
+    any_line(text)
+
+
+def any_line(text: str) -> None:
     try:
         line = parse_line(text)
     except Garbled as trouble:
--- a/tests/http/test_reader.py
+++ b/tests/http/test_reader.py
@@ -137,12 +137,19 @@
     assert end_to_end(headers) == [(b"x-end", b"2")]
 
 
+ANY_BYTES = (st.binary(max_size=80), st.booleans(), st.lists(st.integers(0, 200), max_size=4),
+             st.sampled_from([b"", b"GET / HTTP/1.1\r\nhost: x\r\n", b"HTTP/1.1 200 OK\r\n",
+                              b"POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n"]))
+
+
 @settings(max_examples=300, derandomize=True, deadline=None)
-@given(st.binary(max_size=80), st.booleans(), st.lists(st.integers(0, 200), max_size=4),
-       st.sampled_from([b"", b"GET / HTTP/1.1\r\nhost: x\r\n", b"HTTP/1.1 200 OK\r\n",
-                        b"POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n"]))
+@given(*ANY_BYTES)
 def test_any_bytes_give_a_message_an_error_or_a_wait(data: bytes, request: bool, cuts: list[int],
                                                      start: bytes) -> None:
+    any_bytes(data, request, cuts, start)
+
+
+def any_bytes(data: bytes, request: bool, cuts: list[int], start: bytes) -> None:
     """However the same bytes are cut, they come to the same end, and memory stays inside the bounds."""
     ends = set()
     whole = start + data
