What is said to an umpire that stands still counts as told when it goes on

The first: news of the way back was written to an umpire under SIGSTOP, which read it two seconds later; the checker counted the grace from the writing. Change: the checker takes such news and lists as told at the continuing; umpires of a rehearsal listen on loopback addresses that their process alone uses. Two more transcripts in the checker's tests.

--- a/stepsail/standins/rehearsal.py
+++ b/stepsail/standins/rehearsal.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import json
+import os
 import signal
 import socket
 import subprocess
 import sys
 from collections.abc import Callable
+from itertools import count
 from pathlib import Path
 
 from stepsail.charter import Orders, read_orders
@@ -25,10 +27,16 @@
 UMPIRE_TROUBLES = ("kill-umpire", "stop-umpire")
 
 
+NUMBERS = count()
+
+
 def free_address() -> Address:
-    """An address that nobody listens on at this moment."""
+    """An address that nobody listens on: a loopback address that this process alone uses, and a port there. On one
+    that others use too, another process may take the port before it is listened on."""
+    number, process = next(NUMBERS), os.getpid()
+    host = f"127.{16 + process % 64}.{process // 64 % 250}.{1 + number % 250}"
     with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
+        probe.bind((host, 0))
         found = probe.getsockname()
         return found[0], found[1]
 
--- a/stepsail/umpire/account.py
+++ b/stepsail/umpire/account.py
@@ -22,6 +22,8 @@
     def __init__(self, loop: Loop, orders: Orders, log: Log) -> None:
         self.loop, self.orders, self.log = loop, orders, log
         self.trail: Trail | None = None
+        self.on_trial: tuple[int, float] | None = None  # the build on trial and its cap, as last heard
+        self.exposed = self.taken = 0
         if orders.trail:
             self.trail = Trail(orders.trail, orders.charter.me, Survives(orders.trail_survives),
                                Full(orders.trail_when_full), loop.driver.post, self._says,
@@ -33,6 +35,23 @@
     def takes_new(self) -> bool:
         return self.trail is None or self.trail.takes_new()
 
+    def heard(self, build: int, phase: str, cap: float) -> None:
+        """What release control says of the newest build."""
+        self.on_trial = (build, cap) if phase in ("trial", "reverting") else None
+
+    def relayed(self, build: int) -> None:
+        """A relay was sent to this build."""
+        self.exposed += self.on_trial is not None and build >= self.on_trial[0]
+
+    def windows(self) -> None:
+        """For ever: one entry for each window in which something was on trial."""
+        while True:
+            self.loop.sleep(self.orders.charter.window)
+            if self.on_trial is not None and (self.exposed or self.taken):
+                self.note(Kind.EXPOSURE, build=self.on_trial[0], cap=self.on_trial[1], relays=self.exposed,
+                          taken=self.taken, seconds=self.orders.charter.window)
+            self.exposed = self.taken = 0
+
     def note(self, kind: Kind, **fields: Any) -> None:
         """A decision or news, kept when it is kept."""
         if self.trail:
--- a/stepsail/umpire/conveyor.py
+++ b/stepsail/umpire/conveyor.py
@@ -60,6 +60,7 @@
         seen = (state["build"], state["stage"], state["phase"], state["cap"])
         if seen != self.seen:
             self.seen = seen
+            self.account.heard(seen[0], seen[2], seen[3])
             self.account.note(Kind.NEWS, build=seen[0], stage=seen[1], phase=seen[2], cap=seen[3])
         self.host.tell(self.host.umpire.release_news, float(state["age"]), float(state["cap"]),
                        state["build"], state["stage"], PHASES[state["phase"]])
--- a/stepsail/umpire/door.py
+++ b/stepsail/umpire/door.py
@@ -163,6 +163,7 @@
             subject = request.header(self.subject_header)
             key = 0 if subject is None else self._hashed(subject)
             tenant = self.tenants.get(request.header(self.tenant_header) or b"", 0)
+            self.account.taken += 1
             self.host.take(held, product, tenant, key, request.header(REPEAT) is not None)
             if not self._await(inlet, held):
                 return False
--- a/stepsail/umpire/life.py
+++ b/stepsail/umpire/life.py
@@ -50,6 +50,7 @@
 
     # what the module asks of its host's doers
     def relay(self, held: Held, server: ServerHandle, until: float) -> Task:
+        self.account.relayed(getattr(server, "build", -1))
         return self.nodes.relay(held, server, until)
 
     def probe(self, server: ServerHandle) -> None:
@@ -87,6 +88,8 @@
         self.roster.watch()
         tasks = [self.loop.spawn(self.conveyor.listen, name="conveyor", essential=True),
                  self.loop.spawn(self.nodes.sweep, name="sweep", essential=True)]
+        if self.account.trail:
+            tasks.append(self.loop.spawn(self.account.windows, name="exposure", essential=True))
         if self.orders.hears:
             tasks.append(self.loop.spawn(self.neighbours.listen, name="neighbours", essential=True))
         opening = self.loop.spawn(self._open, name="opening", essential=True)
--- a/stepsail/verify/history.py
+++ b/stepsail/verify/history.py
@@ -11,6 +11,7 @@
 
 Line = dict[str, Any]
 FOREVER = float("inf")
+SLACK = 0.15  # s that a message may be under way between this machine's processes, and a busy loop late
 
 
 class BadTranscript(Exception):
@@ -97,6 +98,14 @@
         for relay in self.relays:
             if relay.line["id"] in self.tries:
                 self.tries[relay.line["id"]].relays.append(relay)
+        for umpire, told in self.told.items():
+            told.states = [self._heard(umpire, line) for line in told.states]
+            told.lists = [self._heard(umpire, line) for line in told.lists]
+
+    def _heard(self, umpire: int, line: Line) -> Line:
+        """What was said to an umpire that stood still lay unread: it was told when it went on."""
+        ends = [s.end for s in self.stopped.get(umpire, []) if s.start - SLACK <= line["t"] <= s.end < FOREVER]
+        return {**line, "t": max(ends), "said": line["t"]} if ends else line
 
     def _line(self, line: Line, at: float, end: str, what: str,
               open_relays: dict[tuple[str, str], list[Relay]]) -> None:
--- a/stepsail/verify/rules.py
+++ b/stepsail/verify/rules.py
@@ -7,9 +7,8 @@
 from dataclasses import dataclass
 from itertools import pairwise
 
-from stepsail.verify.history import FOREVER, History, Line, Relay, Told, Try
+from stepsail.verify.history import FOREVER, SLACK, History, Line, Relay, Told, Try
 
-SLACK = 0.15  # s that a message may be under way between this machine's processes, and a busy loop late
 LATE = 0.05  # s of a client's own lateness in noticing its time
 
 
@@ -142,9 +141,7 @@
             over.setdefault(box, []).append((since, FOREVER, why))
         for relay in history.relays:
             for since, until, why in over.get(relay.box, []) if relay.umpire == umpire else ():
-                bound = max([since] + [s.end for s in history.stopped.get(umpire, [])
-                                       if s.start <= since + grace and s.end >= since])
-                late = relay.at - bound - grace
+                late = relay.at - since - grace
                 if late > SLACK and relay.at < until and not _held_up(history, relay, since):
                     yield Breach(3, "sent to a draining box", relay.box,
                                  f"umpire {umpire}, {late + grace:.3f} s after it was told", (why, relay.line))
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -106,10 +106,11 @@
 class Rig:
     """Runs `test(rig)` as the main task beside the umpire."""
 
-    def __init__(self, folder: Path, test: Callable[[Rig], None], scripts: list[Script], extra: str = "") -> None:
+    def __init__(self, folder: Path, test: Callable[[Rig], None], scripts: list[Script], extra: str = "",
+                 window: str = "4s") -> None:
         self.driver, self.log, self.folder = PollDriver(), Said(), folder
         self.loop = Loop(self.driver, self.log._line)
-        self.scripts, self.extra, self.test = scripts, extra, test
+        self.scripts, self.extra, self.test, self.window = scripts, extra, test, window
         self.file = folder / "umpire.conf"
         self.state = {"build": 1, "stage": 0, "phase": "released", "cap": 1.0, "age": 100.0}
         try:
@@ -125,7 +126,8 @@
         self.file.write_text("\n".join((
             "umpire 0 of 1", "seed 5", "listen {}:{}".format(*self.listen),
             "conveyor {}:{}".format(*self.conveyor.address),
-            "roster {}:{} pushed keep kept.json".format(*self.roster.address), SITE, self.extra)))
+            "roster {}:{} pushed keep kept.json".format(*self.roster.address),
+            SITE.replace("cap 1\n", f"cap 1\n    window {self.window}\n"), self.extra)))
         self.start()
         self.test(self)
 
--- a/tests/umpire/test_account.py
+++ b/tests/umpire/test_account.py
@@ -126,3 +126,19 @@
         answer = rig.ask("POST", "/pay", b"{}")
         assert answer.status == 503 and said(answer)["stay_away"] == 0.5 and rig.total() == 1
     Rig(tmp_path, test, [answers()], KEEP)
+
+
+def test_exposure_at_a_build_on_trial_is_told_window_by_window(tmp_path: Path) -> None:
+    def test(rig: Rig) -> None:
+        rig.boxes[0].build, rig.state = 2, {"build": 2, "stage": 0, "phase": "trial", "cap": 1.0, "age": 0.1}
+        rig.loop.sleep(0.6)
+        for _ in range(12):
+            rig.ask("GET", "/look")
+        seen = sum(len(b.seen) for b in rig.boxes if b.build == 2)
+        rig.loop.sleep(0.6)
+        rig.daemon.stop()
+        rig.life.join(3.0)
+        told = kept(tmp_path, Kind.EXPOSURE)
+        assert sum(t["relays"] for t in told) == seen and sum(t["taken"] for t in told) == 12
+        assert {t["build"] for t in told} == {2}
+    Rig(tmp_path, test, [answers(), answers()], KEEP, window="500ms")
--- a/tests/verify/test_checker.py
+++ b/tests/verify/test_checker.py
@@ -159,6 +159,11 @@
         for x in lines], (5, "over the cap")),
     ("after the way back", add({"t": 6.5, "at": "conveyor", "what": "told", "umpire": 0, "build": 2, "stage": 0,
                                 "phase": "reverting", "cap": 0.0}), (5, "sent at cap 0")),
+    ("after the way back, told in a stop long over", add(
+        {"t": 5.5, "at": "umpire", "what": "stopped", "umpire": 0},
+        {"t": 5.6, "at": "conveyor", "what": "told", "umpire": 0, "build": 2, "stage": 0, "phase": "reverting",
+         "cap": 0.0},
+        {"t": 5.7, "at": "umpire", "what": "continued", "umpire": 0}), (5, "sent at cap 0")),
     ("a guarded stage", lambda lines: [{**x, "product": "mark"} if x.get("id") == "60-0" else x for x in lines],
      (5, "guarded stage")),
 ]
@@ -180,6 +185,12 @@
                                            "servers": {"b1": ["draining", 1]}},
                                           {"t": 5.2, "at": "roster", "what": "told", "umpire": 0, "whole": False,
                                            "servers": {"b1": ["ready", 1]}})),
+    ("told while it stood still", add(
+        {"t": 6.0, "at": "umpire", "what": "stopped", "umpire": 0},
+        {"t": 6.1, "at": "conveyor", "what": "told", "umpire": 0, "build": 2, "stage": 0, "phase": "reverting",
+         "cap": 0.0},
+        {"t": 6.15, "at": "roster", "what": "told", "umpire": 0, "whole": False, "servers": {"b1": ["draining", 1]}},
+        {"t": 9.5, "at": "umpire", "what": "continued", "umpire": 0})),
     ("a drain told to another umpire", add({"t": 1.0, "at": "roster", "what": "told", "umpire": 1, "whole": False,
                                             "servers": {"b1": ["draining", 1]}})),
     ("redoable denied", changed(id="0-0", what="answer")(verdict="denied")),
