--- /dev/null
+++ b/tests/capture/test_kept.py
@@ -0,0 +1,30 @@
+"""Captures of past troubles, kept for ever: whatever the module has become, it must get through them.
+
+With the module that decided them they replay entry for entry; a later one may decide otherwise, and must not fail.
+`stepsail replay tests/captures --what-if` tells where it parts.
+"""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from stepsail import balance
+from stepsail.capture.blocks import read_segment
+from stepsail.capture.folder import replay_stretch
+from stepsail.capture.writer import fingerprint
+
+FILES = sorted((Path(__file__).parent.parent / "captures").glob("*.cap"))
+
+
+@pytest.mark.parametrize("file", FILES, ids=lambda f: f.stem)
+def test_a_kept_capture(file: Path) -> None:
+    segment = read_segment(file)
+    assert segment.sealed and segment.count() > 50
+    same = segment.meta["module"] == fingerprint(balance.Umpire)
+    found = replay_stretch([segment], balance, go_on=not same)
+    if same:
+        assert found.first is None
+    elif found.first:
+        assert not found.first.replayed.raised or found.first.captured.raised
