A stranger's datagram cannot end an umpire; refused requests with large bodies end

Cause: a word without its parts raised an error that the listening task did not expect, and that task is essential: one datagram of a few bytes would have ended the daemon. A 404 to a request whose body was still coming kept the connection, and would have read the body as the next request. Change: whatever a datagram raises is counted and passed over; what is refused with a body under way ends the connection; an unexpected error of the daemon is logged with its trace and ends with code 4. Result: 150 generated words leave the umpire serving; a neighbour that says 600 words is heard within its bound.

--- a/stepsail/cli/main.py
+++ b/stepsail/cli/main.py
@@ -10,6 +10,7 @@
 import json
 import sys
 import tempfile
+import traceback
 from pathlib import Path
 from typing import Any
 
@@ -68,6 +69,9 @@
     except (OSError, Locked, KeyTrouble) as trouble:
         log.error("cannot_run", error=str(trouble))
         sys.exit(FAILED)
+    except Exception as trouble:
+        log.error("failed", error=repr(trouble), trace=traceback.format_exc())
+        sys.exit(FAILED)
     finally:
         driver.shutdown()
     sys.exit(code)
--- a/stepsail/umpire/door.py
+++ b/stepsail/umpire/door.py
@@ -97,8 +97,15 @@
                 answer = _said(404, "no product has this method and path")
             else:
                 return self._transaction(inlet, stream, request, product)
-        keep = request.keep_alive and not self.leaving
+        return self._refuse(stream, request, answer)
+
+    def _refuse(self, stream: Stream, request: Request, answer: Response) -> bool:
+        """Answer what is no transaction; a body that is still coming is not waited for."""
+        keep = request.keep_alive and not self.leaving and request.flow is None
         stream.write(self._encode(answer, request, keep), self.bounds.slow)
+        if request.flow is not None:
+            stream.half_close()
+            self._drain(stream)
         return keep
 
     def _encode(self, answer: Response, request: Request | None, keep: bool) -> bytes:
@@ -142,9 +149,8 @@
         told = request.header(TIME_LEFT)
         if told is not None:
             if not re.fullmatch(rb"\d{1,9}(\.\d{1,9})?", told):
-                answer = _said(400, "request-timeout is the seconds that the client still waits, such as 2.5")
-                stream.write(self._encode(answer, request, request.keep_alive), self.bounds.slow)
-                return request.keep_alive
+                said = "request-timeout is the seconds that the client still waits, such as 2.5"
+                return self._refuse(stream, request, _said(400, said))
             left = min(left, float(told))
         # Guards against this process's own pauses: a request that lay unread while it stood still is as old
         # as its bytes. Also holds against a full backlog. It never makes a client's time longer.
--- a/stepsail/umpire/neighbours.py
+++ b/stepsail/umpire/neighbours.py
@@ -27,7 +27,7 @@
         self.socket = Datagrams(loop, orders.hears) if orders.hears else None
         self.heard_at: dict[tuple[int, str], float] = {}
         self.budget: dict[int, tuple[float, float]] = {}
-        self.said = 0
+        self.said = self.garbled = 0
 
     def _send(self, kind: str, to: Sequence[int], *rest: Any) -> None:
         if self.socket is None:
@@ -52,8 +52,8 @@
             data, _ = self.socket.receive()
             try:
                 self.heard(msgspec.msgpack.decode(data))
-            except (msgspec.DecodeError, ValueError, TypeError):
-                continue  # malformed words end here
+            except Exception:  # whatever a stranger may send: malformed words end here
+                self.garbled += 1
 
     def heard(self, word: Any) -> None:
         """Hand on one word; what is of another version, from nobody, late, twice or too much is dropped."""
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -107,10 +107,11 @@
     """Runs `test(rig)` as the main task beside the umpire."""
 
     def __init__(self, folder: Path, test: Callable[[Rig], None], scripts: list[Script], extra: str = "",
-                 window: str = "4s") -> None:
+                 window: str = "4s", umpires: int = 1) -> None:
         self.driver, self.log, self.folder = PollDriver(), Said(), folder
         self.loop = Loop(self.driver, self.log._line)
         self.scripts, self.extra, self.test, self.window = scripts, extra, test, window
+        self.umpires = umpires
         self.file = folder / "umpire.conf"
         self.state = {"build": 1, "stage": 0, "phase": "released", "cap": 1.0, "age": 100.0}
         try:
@@ -124,7 +125,7 @@
         self.roster = Service(self.loop, "roster", lambda path, query, body, stream: self._list(query))
         self.listen = free_address()
         self.file.write_text("\n".join((
-            "umpire 0 of 1", "seed 5", "listen {}:{}".format(*self.listen),
+            f"umpire 0 of {self.umpires}", "seed 5", "listen {}:{}".format(*self.listen),
             "conveyor {}:{}".format(*self.conveyor.address),
             "roster {}:{} pushed keep kept.json".format(*self.roster.address),
             SITE.replace("cap 1\n", f"cap 1\n    window {self.window}\n"), self.extra)))
--- /dev/null
+++ b/tests/umpire/test_neighbours.py
@@ -0,0 +1,73 @@
+"""Words between umpires: what is handed on, and what ends at the socket."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from rig import Rig, answers
+
+from stepsail.loop import Datagrams
+from stepsail.umpire.neighbours import FOUND, SEEN
+
+SPEAKS = """neighbours 127.0.0.77:{port} {{
+    neighbour 0 127.0.0.77:{port}
+    neighbour 1 127.0.0.78:9
+}}"""
+LEAVES = (st.none() | st.booleans() | st.integers(-5, 1 << 40) | st.floats(allow_nan=True) | st.binary(max_size=8)
+          | st.sampled_from([SEEN, FOUND, 1]))
+WORDS = st.recursive(LEAVES, lambda inner: st.lists(inner, max_size=6), max_leaves=12)
+
+
+def spoken(tmp_path: Path, words: list[bytes]) -> tuple[list[tuple[int, ...]], list[tuple[int, ...]], int]:
+    """What the module heard of these datagrams, and how many were garbled."""
+    found: list[tuple[int, ...]] = []
+    seen: list[tuple[int, ...]] = []
+    garbled = [0]
+
+    def test(rig: Rig) -> None:
+        rig.daemon.orders.neighbours[1] = ("127.0.0.78", 9)
+        umpire = rig.daemon.host.umpire
+        umpire.neighbour_found = lambda *a: found.append(tuple(map(int, a)))  # type: ignore[method-assign]
+        umpire.neighbour_saw = lambda server, *a: seen.append(a)  # type: ignore[method-assign]
+        mouth = Datagrams(rig.loop, ("127.0.0.1", 0))
+        assert rig.daemon.neighbours.socket
+        for word in words:
+            mouth.send(word.replace(b"ADDRESS", rig.boxes[0].address.encode()), rig.daemon.neighbours.socket.address)
+            rig.loop.sleep(0.001)
+        rig.loop.sleep(0.05)
+        assert not rig.life.done and rig.ask("GET", "/look").status == 200
+        garbled[0] = rig.daemon.neighbours.garbled
+    Rig(tmp_path, test, [answers()], SPEAKS.format(port=0), umpires=2)
+    return found, seen, garbled[0]
+
+
+def word(*parts: object) -> bytes:
+    return msgspec.msgpack.encode(parts)
+
+
+def test_words_are_handed_on_once_in_order_and_from_neighbours_only(tmp_path: Path) -> None:
+    found, _, garbled = spoken(tmp_path, [
+        word(1, FOUND, 1, 5.0, 2, 0, 3), word(1, FOUND, 1, 5.0, 2, 0, 3),  # twice
+        word(1, FOUND, 1, 4.0, 2, 0, 1), word(2, FOUND, 1, 9.0, 2, 0, 1),  # late; of another version
+        word(1, FOUND, 0, 9.0, 2, 0, 1), word(1, FOUND, 7, 9.0, 2, 0, 1),  # from itself, from nobody
+        word(1, FOUND, 1, 6.0, 2, 1, 1), word(1, FOUND, 1, 7.0, 2, 1, 9), b"\xc1", b""])
+    assert found == [(1, 2, 0, 3), (1, 2, 1, 1)] and garbled == 3
+
+
+def test_a_neighbour_that_says_too_much_is_heard_within_its_bound(tmp_path: Path) -> None:
+    found, _, _ = spoken(tmp_path, [word(1, FOUND, 1, float(n), 2, 0, 1) for n in range(600)])
+    assert 200 <= len(found) <= 450
+
+
+def test_any_datagram_leaves_the_umpire_running(tmp_path: Path) -> None:
+    words: list[bytes] = []
+
+    @settings(max_examples=150, derandomize=True, deadline=None, database=None)
+    @given(WORDS | st.tuples(st.just(1), st.sampled_from([SEEN, FOUND]), st.just(1), st.floats(0, 1e9), WORDS))
+    def collect(one: object) -> None:
+        words.append(word(*one) if isinstance(one, tuple) else msgspec.msgpack.encode(one))
+    collect()
+    spoken(tmp_path, words)
--- a/tests/umpire/test_streams.py
+++ b/tests/umpire/test_streams.py
@@ -138,3 +138,11 @@
             pass
         assert rig.total() == 1 and rig.daemon.host.held == {}
     Rig(tmp_path, test, [digest_of_body, digest_of_body], MORE)
+
+
+def test_a_large_body_for_no_product_is_not_waited_for(tmp_path: Path) -> None:
+    def test(rig: Rig) -> None:
+        assert rig.ask("POST", "/nowhere", BIG).status == 404
+        assert rig.ask("POST", "/pay", BIG, request_timeout="soon").status == 400
+        assert rig.total() == 0
+    Rig(tmp_path, test, [answers()], MORE)
