One receipt and one chance of pauses, each made in one place

Cause: the receipt was put together twice in the account, and release control and roster each drew their own chance for pauses between failed calls. Change: the account has one maker of receipts; the backoff draws its chance itself, by name, seed and counter.

--- a/stepsail/umpire/account.py
+++ b/stepsail/umpire/account.py
@@ -62,7 +62,7 @@
         trail = self.trail
         if trail is None:
             return True
-        receipt = f"{self.orders.charter.me}-{trail.run}-{held.number}"
+        receipt = self._receipt(trail, held)
         answer.headers = [*answer.headers, (RECEIPT, receipt.encode())]
         kept, done = [False], Event(self.loop)
 
@@ -84,10 +84,12 @@
             trail.keeping.unqueued += 1
         return kept[0] or trail.keeping.answers_without()
 
+    def _receipt(self, trail: Trail, held: Held) -> str:
+        return f"{self.orders.charter.me}-{trail.run}-{held.number}"
+
     def answered(self, held: Held, whole: bool) -> None:
         if self.trail:
-            receipt = f"{self.orders.charter.me}-{self.trail.run}-{held.number}"
-            self.trail.add(Kind.SENT, receipt=receipt, whole=whole)
+            self.trail.add(Kind.SENT, receipt=self._receipt(self.trail, held), whole=whole)
 
     def close(self) -> None:
         if self.trail:
--- a/stepsail/umpire/conveyor.py
+++ b/stepsail/umpire/conveyor.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from typing import Any
-from zlib import crc32
 
 from stepsail.charter import Orders
 from stepsail.interface import Receipt, Verdict
@@ -25,22 +24,18 @@
     def __init__(self, loop: Loop, orders: Orders, host: Host, log: Log, seed: int, account: Account) -> None:
         self.loop, self.orders, self.host, self.log, self.seed = loop, orders, host, log, seed
         self.account, self.seen = account, (-1, 0, "", 0.0)
-        self.votes, self.draws, self.heard = 0, 0, False
-
-    def chance(self) -> float:
-        self.draws += 1
-        return crc32(b"conveyor %d.%d" % (self.seed, self.draws)) / 2**32
+        self.votes, self.heard = 0, False
 
     def listen(self) -> None:
         """Hear news for ever. Sequence numbers keep what is repeated from being told twice."""
-        caller, backoff, seq = Caller(self.loop, self.orders.conveyor), Backoff(), 0
+        caller, backoff, seq = Caller(self.loop, self.orders.conveyor), Backoff("conveyor", self.seed), 0
         while True:
             target = f"/news?after={seq}&umpire={self.orders.charter.me}&wait={POLL:g}".encode()
             try:
                 said = caller.call(b"GET", target, None, NEWS, POLL + POLL_SLACK)
             except CallFailed as trouble:
                 self.log.warning("no_news", error=str(trouble))
-                self.loop.sleep(backoff.next(self.chance()))
+                self.loop.sleep(backoff.next())
                 continue
             backoff.well()
             if said["seq"] < seq:
--- a/stepsail/umpire/roster.py
+++ b/stepsail/umpire/roster.py
@@ -6,7 +6,6 @@
 import zlib
 from pathlib import Path
 from typing import Any
-from zlib import crc32
 
 import msgspec
 
@@ -30,17 +29,13 @@
     def __init__(self, loop: Loop, orders: Orders, host: Host, log: Log, seed: int, account: Account) -> None:
         self.loop, self.orders, self.host, self.log, self.seed = loop, orders, host, log, seed
         self.account = account
-        self.draws, self.seq = 0, 0
+        self.seq = 0
         self.lines: dict[str, dict[str, Any]] = {}
         self.starts: dict[str, tuple[str, float]] = {}
         self.known = Event(loop)
         self.watching: Task | None = None
         self.keep_at = 0.0
 
-    def chance(self) -> float:
-        self.draws += 1
-        return crc32(b"roster %d.%d" % (self.seed, self.draws)) / 2**32
-
     # -- asking ------------------------------------------------------------------------------------------
 
     def watch(self) -> None:
@@ -49,7 +44,7 @@
             self.watching = self.loop.spawn(self._watch, name="roster")
 
     def _watch(self) -> None:
-        caller, backoff, first = Caller(self.loop, self.orders.roster), Backoff(), True
+        caller, backoff, first = Caller(self.loop, self.orders.roster), Backoff("roster", self.seed), True
         try:
             while True:
                 wait = 0.0 if first else POLL
@@ -62,7 +57,7 @@
                     self.host.tell(self.host.umpire.roster_failed)
                     if self.orders.charter.must_ask:
                         return  # the module asks again when it sees fit
-                    self.loop.sleep(backoff.next(self.chance()))
+                    self.loop.sleep(backoff.next())
                     first = True
                     continue
                 backoff.well()
