Trails retire sealed files by age and size, under a signed word; capture encodes in batches

Before a file goes, an entry that names it and what follows it is signed and synced; an audit accepts a later beginning only by such an entry. 'trail seal' signs what a crash left open. Unreadable files refuse the start with a remedy and are a finding of the audit, which goes on.

Capture gathers calls and encodes a thousand at a time.

--- a/bench/relay/measure.py
+++ b/bench/relay/measure.py
@@ -3,7 +3,8 @@
     python bench/relay/measure.py --table docs/measurements/relay-cost.md [--profile]
 
 Each relay is one process; the box and the load are processes of their own, so the relay's CPU is its own.
-Rounds of the three alternate, and what is quoted is the median and the ratio within each round.
+All live throughout and get short slices of load in turn, so that a machine that is slow for a while is so for all
+of them; what is quoted is the median, and the ratio within each round.
 """
 
 from __future__ import annotations
@@ -19,7 +20,7 @@
 import time
 from collections.abc import Iterator
 from pathlib import Path
-from statistics import median
+from statistics import median, quantiles
 from typing import Any
 
 import click
@@ -101,15 +102,9 @@
     loop.run(main)
 
 
-def loaded(port: int, connections: int, seconds: float) -> dict[str, Any]:
-    done = subprocess.run([sys.executable, PARTS, "load", str(port), str(connections), str(seconds)],
-                          capture_output=True, text=True, check=True)
-    found: dict[str, Any] = json.loads(done.stdout)
-    return found
-
-
-def one(name: str, box: int, folder: Path, sizes: list[int], seconds: float) -> dict[int, dict[str, float]]:
-    """All sizes on one relay process."""
+@contextlib.contextmanager
+def relay(name: str, box: int, folder: Path) -> Iterator[tuple[int, int]]:
+    """A relay process: its pid and port."""
     port = free_address()[1]
     with contextlib.ExitStack() as stack:
         if name in ("umpire", "captured"):
@@ -118,26 +113,37 @@
             stack.callback(helper.kill)
             assert helper.stdout
             conveyor, roster = helper.stdout.readline().split()
-            file = folder / "umpire.conf"
+            file = folder / f"umpire-{port}.conf"
             more = f"capture kept-{port}\n" if name == "captured" else ""
             file.write_text(SETTINGS.format(listen=port, conveyor=int(conveyor), roster=int(roster)) + more)
-            relay = stack.enter_context(running("-m", "stepsail", "umpire", str(file)))
+            process = stack.enter_context(running("-m", "stepsail", "umpire", str(file)))
         else:
-            relay = stack.enter_context(running(PARTS, name, str(port), str(box)))
+            process = stack.enter_context(running(PARTS, name, str(port), str(box)))
+        yield process.pid, port
+
+
+Round = dict[str, dict[str, float]]  # what each relay's slice came to
+
+
+def measured(names: list[str], box: int, folder: Path, sizes: list[int], seconds: float,
+             rounds: int) -> tuple[dict[int, list[Round]], dict[str, dict[str, float]]]:
+    """Rounds of slices at each size on relays that all live throughout, and each one's memory and idle CPU."""
+    with contextlib.ExitStack() as stack:
+        relays = {name: stack.enter_context(relay(name, box, folder)) for name in names}
         time.sleep(2.0)
-        before = cpu(relay.pid)
+        before = {name: cpu(pid) for name, (pid, _) in relays.items()}
         time.sleep(2.0)
-        idle = (cpu(relay.pid) - before) / 2.0
-        found = {}
+        whole = {name: {"idle": (cpu(pid) - before[name]) / 2.0} for name, (pid, _) in relays.items()}
+        found: dict[int, list[Round]] = {}
         for size in sizes:
-            before = cpu(relay.pid)
-            result = loaded(port, size, seconds)
-            # The load warms for a second at about the same rate before it counts.
-            used = (cpu(relay.pid) - before) / (result["count"] * (seconds + 1) / seconds)
-            found[size] = {"rate": result["rate"], "cpu_us": used * 1e6, "median_ms": result["median"] * 1e3,
-                           "p99_ms": result["p99"] * 1e3, "mib": memory(relay.pid), "bad": result["bad"],
-                           "idle_cpu": idle, "kept": _kept(folder / f"kept-{port}")}
-        return found
+            targets = [f"{name}:{pid}:{port}" for name, (pid, port) in relays.items()]
+            done = subprocess.run([sys.executable, PARTS, "load", str(size), str(seconds), str(rounds), *targets],
+                                  capture_output=True, text=True, check=True)
+            found[size] = [json.loads(line) for line in done.stdout.splitlines()]
+            for name, (pid, port) in relays.items():
+                whole[name][f"mib{size}"] = memory(pid)
+                whole[name]["kept"] = _kept(folder / f"kept-{port}")
+        return found, whole
 
 
 def _kept(folder: Path) -> float:
@@ -145,22 +151,29 @@
     return float(sum(f.stat().st_size for f in folder.glob("*.cap")))
 
 
-def _capture_table(results: list[dict[str, dict[int, dict[str, float]]]], seconds: float, table: Path | None) -> None:
-    ratios = sorted(r["captured"][50]["cpu_us"] / r["umpire"][50]["cpu_us"] for r in results)
-    per = median(r["captured"][50]["kept"] / (r["captured"][50]["rate"] * (seconds + 1)) for r in results)
+def spread(values: list[float]) -> str:
+    """Median and quartiles."""
+    low, mid, high = quantiles(values, n=4)
+    return f"{mid:.2f} ({low:.2f} to {high:.2f})"
+
+
+def _capture_table(rounds: list[Round], kept: float, seconds: float, table: Path | None) -> None:
+    ratios = [r["captured"]["cpu_us"] / r["umpire"]["cpu_us"] for r in rounds]
+    count = sum(r["captured"]["rate"] * seconds for r in rounds)
+    low, mid, high = quantiles(ratios, n=4)
     text = "\n".join((
-        f"{len(results)} pairs of {seconds:g} s, with capture and without in turn, 50 open connections, on "
-        f"{os.cpu_count()} cores, Python {platform.python_version()}, everything on loopback.", "",
-        f"CPU a transaction with capture over that without, pair by pair: median {median(ratios):.3f}, from "
-        f"{ratios[0]:.3f} to {ratios[-1]:.3f}. About {per:.0f} bytes a transaction on disk.", ""))
+        f"{len(ratios)} pairs of {seconds:g} s, an umpire with capture and one without in turn, 50 open connections, "
+        f"on {os.cpu_count()} cores, Python {platform.python_version()}, everything on loopback.", "",
+        f"CPU a transaction with capture over that without, pair by pair: median {mid:.3f}, quartiles {low:.3f} and "
+        f"{high:.3f}. About {kept / count:.0f} bytes a transaction on disk. Goal: under 1.10.", ""))
     click.echo(text)
     if table:
         table.write_text("# What capture costs\n\n" + text)
 
 
 @click.command()
-@click.option("--rounds", default=3)
-@click.option("--seconds", default=5.0)
+@click.option("--rounds", default=20)
+@click.option("--seconds", default=0.5)
 @click.option("--table", type=click.Path(path_type=Path))
 @click.option("--capture-only", is_flag=True, help="With capture and without, in many short pairs.")
 @click.option("--services", "services_for", type=int, hidden=True)
@@ -172,36 +185,32 @@
     if capture_only:
         sizes, names = [50], ["umpire", "captured"]
     box = free_address()[1]
-    results: list[dict[str, dict[int, dict[str, float]]]] = []
     with running(PARTS, "box", str(box)), tempfile.TemporaryDirectory() as folder:
         time.sleep(1.0)
-        for at in range(rounds):
-            results.append({name: one(name, box, Path(folder), sizes, seconds) for name in names})
-            click.echo(f"round {at + 1}: {json.dumps(results[-1])}", err=True)
+        results, whole = measured(names, box, Path(folder), sizes, seconds, rounds)
     if capture_only:
-        _capture_table(results, seconds, table)
+        _capture_table(results[50], whole["captured"]["kept"], seconds, table)
         return
     rows = []
     for size in sizes:
         for name in names:
-            mine = [r[name][size] for r in results]
-            ratio = median(r[name][size]["cpu_us"] / r["loop"][size]["cpu_us"] for r in results)
+            mine = [r[name] for r in results[size]]
+            ratio = spread([r[name]["cpu_us"] / r["loop"]["cpu_us"] for r in results[size]])
             rows.append(f"| {size} | {name} | {median(m['rate'] for m in mine):.0f} | "
-                        f"{median(m['cpu_us'] for m in mine):.0f} | {ratio:.2f} | "
+                        f"{median(m['cpu_us'] for m in mine):.0f} | {ratio} | "
                         f"{median(m['median_ms'] for m in mine):.2f} | {median(m['p99_ms'] for m in mine):.2f} | "
-                        f"{median(m['mib'] for m in mine):.0f} | {sum(m['bad'] for m in mine):.0f} |")
-    captured = [r["captured"][100]["cpu_us"] / r["umpire"][100]["cpu_us"] for r in results]
-    idle = ", ".join(f"{name} {median(r[name][10]['idle_cpu'] for r in results):.1%}" for name in names)
+                        f"{whole[name][f'mib{size}']:.0f} | {sum(m['bad'] for m in mine):.0f} |")
+    idle = ", ".join(f"{name} {whole[name]['idle']:.1%}" for name in names)
     text = "\n".join((
-        f"{rounds} rounds of {seconds:g} s each, the three relays in turn, on {os.cpu_count()} cores, Python "
-        f"{platform.python_version()}, everything on loopback; the box answers at once with 64 bytes.", "",
+        f"{rounds} rounds of slices of {seconds:g} s, the four relays in turn, all alive throughout, on "
+        f"{os.cpu_count()} cores, Python {platform.python_version()}, everything on loopback; "
+        "the box answers at once with 64 bytes.", "",
         "| open connections | relay | transactions a second | CPU a transaction, µs | CPU against `loop` | "
         "median ms | 99% ms | MiB | not 200 |", "| --- | --- | --- | --- | --- | --- | --- | --- | --- |", *rows, "",
         f"Idle CPU, of one core: {idle}.", "",
-        f"Capture adds {median(captured) - 1:.1%} CPU a transaction at 100 connections.", "",
         "`umpire` is the daemon, `captured` the daemon with capture on; `loop` the same loop and parser with no "
         "module; `gevent` the same relay with the same parser on gevent. Medians of the rounds; the ratio is "
-        "taken within each round.", ""))
+        "taken within each round, with its quartiles.", ""))
     click.echo(text)
     if table:
         table.write_text("# What one relay costs\n\n" + text)
--- a/bench/relay/parts.py
+++ b/bench/relay/parts.py
@@ -1,15 +1,18 @@
 """The processes of the relay measurement: a box that answers at once, a load of closed loops, two bare relays.
 
     python bench/relay/parts.py box|loop|gevent PORT [BOX_PORT]
-    python bench/relay/parts.py load PORT CONNECTIONS SECONDS
+    python bench/relay/parts.py load CONNECTIONS SECONDS ROUNDS NAME:PID:PORT ...
 """
 
 from __future__ import annotations
 
 import asyncio
 import json
+import os
 import sys
 import time
+from pathlib import Path
+from typing import Any
 
 ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 64\r\ncontent-type: application/json\r\n\r\n" + b"x" * 64
 ASKED = (b"GET /look HTTP/1.1\r\nhost: 127.0.0.1\r\nuser-agent: load\r\naccept: */*\r\n"
@@ -32,17 +35,17 @@
 
 
 class LoadProtocol(asyncio.Protocol):
-    """One closed loop: the next request as soon as the answer is whole."""
+    """One closed loop: the next request as soon as the answer is whole, while `load` is on."""
 
-    def __init__(self, took: list[float], bad: list[int]) -> None:
-        self.took, self.bad, self.held, self.at = took, bad, b"", 0.0
+    def __init__(self, load: Load) -> None:
+        self.load, self.held, self.at = load, b"", 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport
-        self.ask()
 
     def ask(self) -> None:
         self.at = time.perf_counter()
+        self.load.out += 1
         self.transport.write(ASKED)  # type: ignore[attr-defined]
 
     def data_received(self, data: bytes) -> None:
@@ -54,11 +57,46 @@
         length = int(head.split(b"content-length:")[1].split(b"\r\n")[0])
         if len(self.held) < end + 4 + length:
             return
-        self.took.append(time.perf_counter() - self.at)
-        if not head.startswith(b"http/1.1 200"):
-            self.bad[0] += 1
+        self.load.took.append(time.perf_counter() - self.at)
+        self.load.bad += not head.startswith(b"http/1.1 200")
+        self.load.out -= 1
         self.held = b""
-        self.ask()
+        if self.load.on:
+            self.ask()
+
+
+class Load:
+    """The closed loops towards one relay process."""
+
+    def __init__(self, name: str, pid: int, port: int) -> None:
+        self.name, self.pid, self.port = name, pid, port
+        self.took: list[float] = []
+        self.bad, self.out, self.on = 0, 0, False
+        self.made: list[LoadProtocol] = []
+
+    async def connect(self, connections: int) -> None:
+        loop = asyncio.get_running_loop()
+        for _ in range(connections):
+            self.made.append((await loop.create_connection(lambda: LoadProtocol(self), "127.0.0.1", self.port))[1])
+
+    def cpu(self) -> float:
+        """Seconds of CPU that the process has used, by the scheduler's own count."""
+        return sum(int(Path(f"/proc/{self.pid}/task/{task}/schedstat").read_text().split()[0])
+                   for task in os.listdir(f"/proc/{self.pid}/task")) / 1e9
+
+    async def slice(self, seconds: float) -> dict[str, Any]:
+        """Ask for so long, wait for what is out, and tell what it came to."""
+        self.took, self.bad, self.on = [], 0, True
+        before, start = self.cpu(), time.perf_counter()
+        for one in self.made:
+            one.ask()
+        await asyncio.sleep(seconds)
+        self.on = False
+        while self.out:
+            await asyncio.sleep(0.002)
+        wall, took = time.perf_counter() - start, sorted(self.took)
+        return {"rate": len(took) / wall, "cpu_us": (self.cpu() - before) / len(took) * 1e6, "bad": self.bad,
+                "median_ms": took[len(took) // 2] * 1e3, "p99_ms": took[int(len(took) * 0.99)] * 1e3}
 
 
 async def box(port: int) -> None:
@@ -66,21 +104,16 @@
     await server.serve_forever()
 
 
-async def load(port: int, connections: int, seconds: float) -> None:
-    took: list[float] = []
-    bad = [0]
-    loop = asyncio.get_running_loop()
-    made = [await loop.create_connection(lambda: LoadProtocol(took, bad), "127.0.0.1", port)
-            for _ in range(connections)]
-    await asyncio.sleep(1.0)  # warm
-    took.clear()
-    bad[0], start = 0, time.perf_counter()
-    await asyncio.sleep(seconds)
-    took_now, wall = sorted(took), time.perf_counter() - start
-    for transport, _ in made:
-        transport.abort()
-    print(json.dumps({"count": len(took_now), "bad": bad[0], "rate": len(took_now) / wall, "median":
-                      took_now[len(took_now) // 2], "p99": took_now[int(len(took_now) * 0.99)]}))
+async def load(targets: list[str], connections: int, seconds: float, rounds: int) -> None:
+    """Slices of load on each relay in turn, round after round, so that a machine that is slow for a while is so for
+    all; one line of JSON for each round. Targets are NAME:PID:PORT."""
+    loads = [Load(t.split(":")[0], int(t.split(":")[1]), int(t.split(":")[2])) for t in targets]
+    for one in loads:
+        await one.connect(connections)
+        await one.slice(1.0)  # warm
+    for _ in range(rounds):
+        print(json.dumps({one.name: await one.slice(seconds) for one in loads}), flush=True)
+        loads = loads[1:] + loads[:1]
 
 
 def loop_relay(port: int, to: int) -> None:
@@ -149,7 +182,7 @@
     if what == "box":
         asyncio.run(box(port))
     elif what == "load":
-        asyncio.run(load(port, int(sys.argv[3]), float(sys.argv[4])))
+        asyncio.run(load(sys.argv[5:], port, float(sys.argv[3]), int(sys.argv[4])))
     elif what == "loop":
         loop_relay(port, int(sys.argv[3]))
     elif what == "gevent":
--- a/stepsail/capture/entries.py
+++ b/stepsail/capture/entries.py
@@ -78,6 +78,8 @@
     raised: str = ""
 
 
+Call = tuple[int, float, tuple[Any, ...], list[tuple[Any, ...]], str]  # an Entry's fields, before it is read
+
 ENCODER = msgspec.msgpack.Encoder()
 DECODER = msgspec.msgpack.Decoder(tuple[int, float, tuple[Any, ...], list[tuple[Any, ...]], str])
 OLD_DECODER = msgspec.msgpack.Decoder(tuple[int, float, tuple[Any, ...], list[tuple[Any, ...]]])  # format 1
--- a/stepsail/capture/seam.py
+++ b/stepsail/capture/seam.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Sequence
 from typing import Any, Protocol
 
-from stepsail.capture.entries import Asked, Entry, Told
+from stepsail.capture.entries import Asked, Call, Told
 from stepsail.capture.state import freeze
 from stepsail.interface import (
     Charter,
@@ -31,10 +31,9 @@
 
     def begin(self, charter: Charter, seed: int) -> None: ...
 
-    def entry(self, entry: Entry) -> None: ...
+    def entry(self, call: Call) -> None: ...
 
-    def wants_state(self) -> bool:
-        """Whether a new segment begins, so that the state is wanted before the next entry."""
+    wants_state: bool  # whether a new segment begins, so that the state is wanted before the next entry
 
     def state(self, frozen: Callable[[], bytes]) -> None: ...
 
@@ -54,6 +53,8 @@
 class RecordedServer:
     """A server's handle as the host holds it."""
 
+    __slots__ = ("address", "number", "real", "recorder")
+
     def __init__(self, recorder: Recorder, real: ServerHandle, number: int) -> None:
         self.recorder, self.real, self.number, self.address = recorder, real, number, real.address
 
@@ -116,17 +117,16 @@
     def told(self, kind: Told, values: tuple[Any, ...], call: Callable[..., Any], *args: Any) -> Any:
         """Make one call to the module and write it down with what it led to."""
         sink = self.sink
-        if kind is not Told.BEGIN and sink.wants_state():
+        if sink.wants_state and kind != Told.BEGIN:
             sink.state(self._frozen)
-        self.clock = self.host.clock
-        asked: list[tuple[Any, ...]] = []
-        self.asked = asked
+        self.clock = clock = self.host.clock
+        self.asked = asked = list[tuple[Any, ...]]()
         try:
             result = call(*args)
         except Exception as trouble:
-            sink.entry(Entry(int(kind), self.clock, values, asked, f"{type(trouble).__name__}: {trouble}"))
+            sink.entry((kind, clock, values, asked, f"{type(trouble).__name__}: {trouble}"))
             raise
-        sink.entry(Entry(int(kind), self.clock, values, asked))
+        sink.entry((kind, clock, values, asked, ""))
         return result
 
     def _frozen(self) -> bytes:
@@ -156,8 +156,10 @@
     def take(self, number: int, product: int, tenant: int, effort: float | None, until: float, key: int,
              again: bool) -> RecordedTransaction:
         values = (number, product, tenant, effort, until, key, again)
-        transaction = self._transaction(self.told(Told.TAKE, values, self.real.take, *values))
-        self.forget(transaction)
+        real = self.told(Told.TAKE, values, self.real.take, *values)
+        transaction = self.transactions.get(number) or self._transaction(real)
+        if real.finished:
+            del self.transactions[number]
         return transaction
 
     def release_news(self, age: float, cap: float, build: int, stage: int, phase: Phase) -> None:
--- a/stepsail/capture/writer.py
+++ b/stepsail/capture/writer.py
@@ -1,6 +1,6 @@
 """Writes captures beside a running umpire: the umpire appends to memory, a thread compresses and writes.
 
-Bounds: BLOCK bytes gathered, QUEUE blocks waiting for the disk, and a ring of segments by size and age. Where the
+Bounds: GATHER calls gathered, QUEUE blocks waiting for the disk, and a ring of segments by size and age. Where the
 disk cannot keep up, or fails, whole stretches are dropped and the next segment says so; replay does not cross that.
 What a kill loses: the block being gathered (at most FLUSH seconds) and those waiting; what is written stays whole.
 """
@@ -22,12 +22,13 @@
 import msgspec
 
 from stepsail.capture.blocks import TITLE, VERSION, Kind, block
-from stepsail.capture.entries import ENCODER, Entry
+from stepsail.capture.entries import ENCODER, Call
 from stepsail.capture.state import NoState
 from stepsail.interface import Charter
 from stepsail.store.frames import LENGTH
 
-BLOCK = 256 << 10  # bytes of entries in a block before it is compressed
+GATHER = 1000  # calls gathered before they are handed over; some 60 kB
+BLOCK = 256 << 10  # bytes of entries in a block that is written at once, elsewhere than beside an umpire
 FLUSH = 1.0  # s of the umpire's clock after which a block is handed over, full or not
 QUEUE = 32  # blocks that may wait for the disk
 RETRY = 2.0  # s after a failed write until the next segment is tried
@@ -51,7 +52,8 @@
         self.folder, self.umpire, self.module, self.report = folder, umpire, module, report
         self.segment, self.most, self.age = segment, most, age
         self.run = os.urandom(6).hex()
-        self.buffer = bytearray()
+        self.gathered: list[Call] = []
+        self.wants_state = False  # the seam looks at it before each call
         self.first = self.next = 0  # numbers of the first entry gathered and of the one to come
         self.clock = self.first_clock = 0.0
         self.number = 0
@@ -85,46 +87,52 @@
         self.in_segment = 0
         return True
 
-    def entry(self, entry: Entry) -> None:
-        self.clock = entry.clock
+    def entry(self, call: Call) -> None:
+        # The umpire waits for this: calls are gathered as they are and encoded many at a time.
         self.next += 1
-        if self.gap is None and self.broken == self.number - 1:
-            self._drop("the disk failed")
-        if self.gap is not None:
-            return
-        if not self.buffer:
-            self.first, self.first_clock = self.next - 1, entry.clock
-        data = ENCODER.encode(entry)
-        self.buffer += LENGTH.pack(len(data))
-        self.buffer += data
-        if len(self.buffer) >= BLOCK or entry.clock - self.first_clock >= FLUSH:
+        self.clock = clock = call[1]
+        gathered = self.gathered
+        if not gathered:
+            if self.gap is None and self.broken == self.number - 1:
+                self._drop("the disk failed")
+            if self.gap is not None:
+                self.wants_state = self._goes_on()
+                return
+            self.first, self.first_clock = self.next - 1, clock
+        gathered.append(call)
+        if len(gathered) >= GATHER or clock - self.first_clock >= FLUSH:
             self._hand_over()
 
     def _hand_over(self) -> None:
-        if not self.buffer:
+        if not self.gathered:
             return
-        data, self.buffer = bytes(self.buffer), bytearray()
+        parts: list[bytes] = []
+        for call in self.gathered:
+            data = ENCODER.encode(call)
+            parts += (LENGTH.pack(len(data)), data)
+        self.gathered, data = [], b"".join(parts)
         try:
             self.queue.put_nowait(("entries", data, self.first, self.first_clock, self.next))
             self.in_segment += len(data)
+            # Packed data is about a quarter of what was gathered.
+            self.wants_state = self.in_segment >= self.segment * 4
         except queue.Full:
             self._drop("the disk is too slow")
 
     def _drop(self, why: str) -> None:
         """From here on nothing is kept, until a new segment can begin with a snapshot."""
         self.gap = {"clock": self.clock, "why": why}
-        self.buffer = bytearray()
+        self.gathered, self.wants_state = [], False
         self.report("capture_drops", why=why)
 
-    def wants_state(self) -> bool:
-        if self.gap is None:
-            # Packed data is about a quarter of what was gathered.
-            return self.in_segment >= self.segment * 4
+    def _goes_on(self) -> bool:
+        """Whether a dropped stretch may end."""
         return self.queue.qsize() <= QUEUE // 4 and time.monotonic() - self.failed_at >= RETRY
 
     def state(self, frozen: Callable[[], bytes]) -> None:
         if self.gap is None:
             self._hand_over()
+        self.wants_state = False
         try:
             data = frozen()
         except NoState as trouble:
--- a/stepsail/charter/orders.py
+++ b/stepsail/charter/orders.py
@@ -60,6 +60,8 @@
     trail_commit: float
     trail_segment: int
     trail_reserve: int
+    trail_age: float
+    trail_size: int
     capture: Path | None
     capture_size: int
     capture_segment: int
@@ -177,4 +179,5 @@
         log.get("form", "json"), log.get("level", "info"),
         file.parent / trail["folder"] if "folder" in trail else None, trail["survives"], trail["when-full"],
         trail["commit-within"] if "folder" in trail else 0.0, trail["segment"], trail["reserve"],
+        trail["age"], trail["size"],
         file.parent / kept["folder"] if "folder" in kept else None, kept["size"], kept["segment"], kept["age"])
--- a/stepsail/charter/reference.py
+++ b/stepsail/charter/reference.py
@@ -11,7 +11,7 @@
 
 One line holds one word and its values; `#` begins a comment; `word … {` opens a block that `}` on a line of
 its own closes; `include FILE` reads another file as if it stood there, by a path beside the including file.
-Times carry a unit (`ms`, `s`, `m`, `h`), shares are written `8.5%` or `0.085`, sizes `16k` or `1m`. Values
+Times carry a unit (`ms`, `s`, `m`, `h`, `d`), shares are written `8.5%` or `0.085`, sizes `16k` or `1m`. Values
 with spaces stand in double quotes. `stepsail check FILE` tells all faults of a file in one go.
 """
 
--- a/stepsail/charter/words.py
+++ b/stepsail/charter/words.py
@@ -7,15 +7,15 @@
 from dataclasses import dataclass
 from typing import Any
 
-SECONDS = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0}
+SECONDS = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0, "d": 86400.0}
 SIZES = {"": 1, "k": 1024, "K": 1024, "m": 1024**2, "M": 1024**2, "g": 1024**3,
          "G": 1024**3}
 
 
 def _duration(text: str) -> float:
-    found = re.fullmatch(r"(\d+(?:\.\d+)?)(ms|s|m|h)", text)
+    found = re.fullmatch(r"(\d+(?:\.\d+)?)(ms|s|m|h|d)", text)
     if not found:
-        raise ValueError("a time with its unit, such as 250ms, 1.2s or 5m")
+        raise ValueError("a time with its unit, such as 250ms, 1.2s, 5m or 30d")
     return float(found[1]) * SECONDS[found[2]]
 
 
@@ -115,6 +115,7 @@
 
 
 TIME: dict[str, Any] = {"exclusiveMinimum": 0, "maximum": 86400}
+AGE: dict[str, Any] = {"minimum": 0, "maximum": 100 * 366 * 86400}  # of what is kept
 SHARE: dict[str, Any] = {"minimum": 0, "maximum": 1}
 
 PRODUCT = (
@@ -246,7 +247,7 @@
                  absent=256 << 20),
             Word("segment", "Bytes of a segment, about; each begins with a snapshot.",
                  (arg("size", "size", minimum=1 << 14, maximum=1 << 30),), absent=16 << 20),
-            Word("age", "Segments older than this leave the ring.", (arg("time", "time", **TIME),),
+            Word("age", "Segments older than this leave the ring.", (arg("time", "time", **AGE),),
                  absent=86400.0))),
     Word("trail", "Folder of this umpire's audit trail; see trail.md.", (arg("folder", "text"),), (
         Word("survives", "What a given answer survives in the trail.", (
@@ -258,6 +259,10 @@
         Word("segment", "Bytes of a file; a restart reads the last one.",
              (arg("size", "size", minimum=1 << 14, maximum=1 << 30),), absent=16 << 20),
         Word("reserve", "Bytes kept back for when the disk is full.",
-             (arg("size", "size", minimum=1 << 16, maximum=1 << 30),), absent=4 << 20))),
+             (arg("size", "size", minimum=1 << 16, maximum=1 << 30),), absent=4 << 20),
+        Word("age", "Sealed files older than this are removed, and the trail says so; 0: none.",
+             (arg("time", "time", **AGE),), absent=0.0),
+        Word("size", "Most bytes of all files; beyond, the oldest sealed ones are removed; 0: none.",
+             (arg("size", "size", minimum=0, maximum=1 << 50),), absent=0))),
     Word("leave-within", "After a stop signal, longest time to answer what is held.",
          (arg("time", "time", **TIME),), absent=15.0))
--- a/stepsail/cli/main.py
+++ b/stepsail/cli/main.py
@@ -28,6 +28,7 @@
 from stepsail.standins.rehearsal import Rehearsal
 from stepsail.trail.committer import Locked
 from stepsail.trail.keys import KeyTrouble
+from stepsail.trail.log import Unreadable
 from stepsail.umpire.life import Daemon
 from stepsail.verify import read_history, verify
 from stepsail.verify.history import BadTranscript
@@ -66,7 +67,7 @@
     loop = Loop(driver, lambda event, **fields: log.warning(event, **fields))
     try:
         code = loop.run(Daemon(loop, orders, Umpire, log, orders.log_level == "debug").run)
-    except (OSError, Locked, KeyTrouble) as trouble:
+    except (OSError, Locked, KeyTrouble, Unreadable) as trouble:
         log.error("cannot_run", error=str(trouble))
         sys.exit(FAILED)
     except Exception as trouble:
--- a/stepsail/cli/trails.py
+++ b/stepsail/cli/trails.py
@@ -1,10 +1,11 @@
-"""Sub-commands on audit trails: verify, show, find, export, heads, reconcile, merge, new-key."""
+"""Sub-commands on audit trails: verify, show, find, export, heads, seal, reconcile, merge, new-key."""
 
 from __future__ import annotations
 
 import csv
 import json
 import sys
+import time
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
@@ -13,10 +14,11 @@
 import msgspec
 
 from stepsail.store.frames import Damaged
+from stepsail.trail.committer import Locked, sealing
 from stepsail.trail.disk import RealDisk
 from stepsail.trail.entries import Entry, Kind
-from stepsail.trail.keys import Key
-from stepsail.trail.log import Head
+from stepsail.trail.keys import Key, KeyTrouble
+from stepsail.trail.log import Head, Unreadable
 from stepsail.trail.reader import audit, entries, segments
 from stepsail.trail.reconcile import merge, reconcile
 
@@ -54,7 +56,8 @@
     key = bytes.fromhex(public.read_text().strip()) if public else None
     published = [msgspec.json.decode(line, type=Head) for line in heads.read_bytes().splitlines()] if heads else []
     found = audit(folder, key, published)
-    click.echo(f"{found.entries} entries, {found.heads} good heads, signed up to entry {found.signed_to}, "
+    whole = f"entries {found.first} to {found.entries - 1}" if found.first else f"{found.entries} entries"
+    click.echo(f"{whole}, {found.heads} good heads, signed up to entry {found.signed_to}, "
                f"{found.unsigned} behind the last head")
     for note in found.notes:
         click.echo(f"note: {note}")
@@ -122,6 +125,23 @@
             click.echo(msgspec.json.encode(head).decode())
 
 
+@trail.command()
+@click.argument("folder", type=FOLDER)
+def seal(folder: Path) -> None:
+    """Sign what a crash left behind the last head, close the trail, and print the head: publish it.
+
+    For a trail whose umpire is stopped; a running one signs a head every few seconds itself.
+    """
+    try:
+        with sealing(folder) as log:
+            head = log.head(time.time())
+            log.sync()
+    except (OSError, Locked, KeyTrouble, Unreadable) as trouble:
+        click.echo(str(trouble), err=True)
+        sys.exit(BAD)
+    click.echo(msgspec.json.encode(head).decode())
+
+
 @trail.command(name="reconcile")
 @click.argument("folders", type=FOLDER, nargs=-1, required=True)
 @click.option("--clients", required=True, type=FILE, help="A transcript of clients, one JSON object a line.")
--- a/stepsail/standins/disk.py
+++ b/stepsail/standins/disk.py
@@ -28,6 +28,7 @@
         self.fail: dict[int, int] = {}  # number of a call: errno
         self.stop_at = -1  # the power goes out before this call
         self.steps: list[str] = []
+        self.unreadable: set[str] = set()  # files whose blocks the disk cannot give back
 
     def _step(self, what: str) -> None:
         if self.calls == self.stop_at:
@@ -64,8 +65,12 @@
         for file in self.files.values():
             file.named = True
 
-    def read(self, name: str) -> bytes:
-        return bytes(self.files[name].data)
+    def read(self, name: str, most: int = -1) -> bytes:
+        if name in self.unreadable:
+            raise OSError(errno.EIO, "Input/output error", name)
+        if name not in self.files:
+            raise FileNotFoundError(errno.ENOENT, "No such file or directory", name)
+        return bytes(self.files[name].data if most < 0 else self.files[name].data[:most])
 
     def names(self) -> list[str]:
         return sorted(self.files)
@@ -74,6 +79,7 @@
         return len(self.files[name].data)
 
     def remove(self, name: str) -> None:
+        self._step("remove")
         file = self.files.pop(name, None)
         if file:
             self.room += len(file.data)
--- a/stepsail/trail/committer.py
+++ b/stepsail/trail/committer.py
@@ -11,15 +11,24 @@
 import queue
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Any
 
 from stepsail.trail.disk import Disk, RealDisk
 from stepsail.trail.entries import Kind, encode
 from stepsail.trail.keys import Key, KeyTrouble
-from stepsail.trail.log import MOST_SEGMENT, RESERVE, TrailLog, names_of_segments, read_segment
+from stepsail.trail.log import (
+    MOST_SEGMENT,
+    RESERVE,
+    Files,
+    TrailLog,
+    Unreadable,
+    names_of_segments,
+    read_segment,
+)
 from stepsail.trail.policy import HEAD_EVERY, Full, Keeping, Survives
+from stepsail.trail.retention import AT_ONCE, Retention
 
 QUEUE, BATCH = 20000, 512
 RESERVE_SIZE = 4 << 20  # bytes: some ten thousand answers
@@ -42,7 +51,10 @@
                              "with 'stepsail trail new-key FOLDER', and publish it") from None
         return Key.make(folder)
     for name in reversed(names):
-        segment = read_segment(name, disk.read(name), folder / name)
+        try:
+            segment = read_segment(name, disk.read(name), folder / name)
+        except OSError as trouble:
+            raise Unreadable(folder / name, trouble) from None
         last = [head for _, head in segment.heads()][-1:]
         if last and last[0].key != key.name and key.handover(folder) is None:
             raise KeyTrouble(f"the key in {folder} is {key.name}, and the trail was signed by {last[0].key}: this is "
@@ -52,24 +64,49 @@
     return key
 
 
+def locked(folder: Path) -> int:
+    """A descriptor that holds the folder for this process alone. Raises Locked, OSError."""
+    lock = os.open(folder / "lock", os.O_CREAT | os.O_RDWR, 0o600)
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError:
+        os.close(lock)
+        raise Locked(f"another process keeps the trail in {folder}; give each umpire a folder of its own") from None
+    return lock
+
+
+@contextlib.contextmanager
+def sealing(folder: Path) -> Iterator[TrailLog]:
+    """A stopped umpire's trail, held and gone on with in a new file that is closed at the end."""
+    disk, lock = RealDisk(folder), locked(folder)
+    try:
+        names = names_of_segments(disk)
+        if not names:
+            raise KeyTrouble(f"{folder} holds no trail")
+        umpire = int(names[-1].rsplit("umpire", 1)[1].split(".")[0])
+        log = TrailLog(disk, umpire, os.urandom(6).hex(), open_key(folder, disk), folder)
+        log.recover()
+        log.begin(time.time(), [])
+        yield log
+        log.close(time.time())
+    finally:
+        os.close(lock)
+
+
 class Trail:
     """One umpire's trail. `post` runs a call on the umpire's loop; `report` is told of trouble, on the loop too."""
 
     def __init__(self, folder: Path, umpire: int, survives: Survives, full: Full,
                  post: Callable[[Callable[[], object]], object], report: Callable[..., object],
-                 disk: Disk | None = None, segment: int = MOST_SEGMENT, reserve: int = RESERVE_SIZE) -> None:
+                 disk: Disk | None = None, segment: int = MOST_SEGMENT, reserve: int = RESERVE_SIZE,
+                 keep_age: float = 0.0, keep_size: int = 0) -> None:
         folder.mkdir(parents=True, exist_ok=True, mode=0o700)
-        self.lock = os.open(folder / "lock", os.O_CREAT | os.O_RDWR, 0o600)
-        try:
-            fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-        except OSError:
-            os.close(self.lock)
-            raise Locked(f"another process keeps the trail in {folder}; give each umpire a folder of its "
-                         "own") from None
+        self.lock = locked(folder)
         self.folder, self.survives, self.post, self.report = folder, survives, post, report
         self.disk: Disk = disk or RealDisk(folder)
         self.segment, self.reserve_size = segment, reserve
-        self.keeping = Keeping(full)
+        self.keeping, self.retention = Keeping(full), Retention(keep_age, keep_size)
+        self.files = Files(self.disk, folder)
         self.run = os.urandom(6).hex()
         try:
             self.log = TrailLog(self.disk, umpire, self.run, open_key(folder, self.disk), folder)
@@ -192,16 +229,26 @@
             elif self.log.fd is not None and self.log.size >= self.segment:
                 self.log.close(time.time())
                 self.log.begin(time.time(), [])
+                self.retention.due_at = now
             elif self.log.fd is not None and now - self.signed >= HEAD_EVERY and self.log.signed_at != self.log.seq:
                 self.log.head(time.time())
                 self.signed = now
             if keeping.renews(now) and self._take_reserve():
                 keeping.reserve = True
+            if keeping.well and self.log.fd is not None and self.retention.due(now):
+                self._retire(now)
         except OSError as trouble:
             self.log.abandon()
             keeping.failed(now, str(trouble))
             keeping.well = False
 
+    def _retire(self, now: float) -> None:
+        """Let the oldest files go, as far as age and size want it."""
+        oldest, total = self.files.oldest(AT_ONCE)
+        for file, why in self.retention.choose(oldest, total, now, time.time()):
+            self.log.retire(file, why, time.time())
+            self._say("trail_retired", file=file.name, why=why)
+
     def _say(self, event: str, **fields: Any) -> None:
         self.post(lambda: self.report(event, **fields))
 
--- a/stepsail/trail/disk.py
+++ b/stepsail/trail/disk.py
@@ -20,7 +20,7 @@
 
     def sync_folder(self) -> None: ...
 
-    def read(self, name: str) -> bytes: ...
+    def read(self, name: str, most: int = -1) -> bytes: ...
 
     def names(self) -> list[str]: ...
 
@@ -59,8 +59,9 @@
         finally:
             os.close(fd)
 
-    def read(self, name: str) -> bytes:
-        return (self.folder / name).read_bytes()
+    def read(self, name: str, most: int = -1) -> bytes:
+        with open(self.folder / name, "rb") as file:
+            return file.read(most)
 
     def names(self) -> list[str]:
         return sorted(f.name for f in self.folder.iterdir())
--- a/stepsail/trail/log.py
+++ b/stepsail/trail/log.py
@@ -13,13 +13,15 @@
 from dataclasses import dataclass, field
 from enum import IntEnum
 from pathlib import Path
+from typing import Any
 
 import msgspec
 
 from stepsail.store.frames import LENGTH, Damaged, Frame, frame, frame_at
 from stepsail.trail.disk import Disk
-from stepsail.trail.entries import NO_LINK, Kind, encode, links
+from stepsail.trail.entries import DECODER, NO_LINK, Kind, encode, links
 from stepsail.trail.keys import Key, head_message
+from stepsail.trail.retention import Sealed
 
 TITLE = b"stepsail trail 1\n"
 SUFFIX = ".trail"
@@ -58,6 +60,7 @@
     frames: list[Frame] = field(default_factory=list)
     torn_at: int | None = None
     damaged: Damaged | None = None
+    unreadable: OSError | None = None
 
     def entries(self) -> Iterator[tuple[int, bytes]]:
         """Numbered entries as bytes."""
@@ -109,6 +112,49 @@
     return [n for n in disk.names() if n.endswith(SUFFIX)]
 
 
+MOST_START = 4096  # bytes at a segment's beginning in which its START stands
+
+
+class Unreadable(Exception):
+    """The disk does not give a file back, and without it the trail's end is not known."""
+
+    def __init__(self, file: Path, trouble: OSError) -> None:
+        super().__init__(f"{file} cannot be read ({trouble.strerror or trouble}): where the trail ends is not known, "
+                         "and going on could give an entry's number twice. Copy the folder away, mend or replace the "
+                         "disk, put the files back, and start again")
+
+
+class Files:
+    """The files of a trail as retention sees them. Sizes of sealed files are looked up once, as they never change."""
+
+    def __init__(self, disk: Disk, folder: Path) -> None:
+        self.disk, self.folder, self.sizes = disk, folder, dict[str, int]()
+
+    def oldest(self, most: int) -> tuple[list[Sealed], int]:
+        """Up to so many files that have a successor, oldest first, and the bytes of all. Raises OSError."""
+        names = names_of_segments(self.disk)
+        self.sizes = {n: self.sizes.get(n) or self.disk.size(n) for n in names[:-1]}
+        total = sum(self.sizes.values()) + sum(self.disk.size(n) for n in names[-1:])
+        found: list[Sealed] = []
+        for at, name in enumerate(names[:-1][:most]):
+            # Behind a begin that a crash cut short, the next START tells.
+            follower = next((s for n in names[at + 1:] if (s := self._start(n)) is not None), None)
+            if follower is None:
+                break
+            wall, start = follower
+            found.append(Sealed(name, self.sizes[name], wall, int(start["follows"]), bytes(start["link"])))
+        return found, total
+
+    def _start(self, name: str) -> tuple[float, dict[str, Any]] | None:
+        """Wall clock and fields of a file's START."""
+        data = self.disk.read(name, MOST_START)
+        segment = read_segment(name, data, self.folder / name)
+        if not segment.frames and len(data) == MOST_START:
+            segment = read_segment(name, self.disk.read(name), self.folder / name)
+        first = next((DECODER.decode(e) for _, e in segment.entries()), None)
+        return (first[1], first[2]) if first is not None and first[0] == Kind.START else None
+
+
 class TrailLog:
     """Writes one umpire's trail. Any OSError leaves it closed; `begin` starts a new segment."""
 
@@ -121,16 +167,21 @@
         self.start_bytes: bytes = b""
 
     def recover(self) -> list[str]:
-        """Find where the trail stands, from its last segments; what is to be told of them. Raises OSError.
+        """Find where the trail stands, from its last segments; what is to be told of them.
 
-        Reads backwards only until a segment with an entry: bounded by the size of a segment, not of the trail.
+        Raises Unreadable, OSError. Reads backwards only until a segment with an entry: bounded by the size of a
+        segment, not of the trail.
         """
         told = []
         names = names_of_segments(self.disk)
         if names:
             self.number = int(names[-1].split("-")[0]) + 1
         for name in reversed(names):
-            segment = read_segment(name, self.disk.read(name), self.folder / name)
+            try:
+                data = self.disk.read(name)
+            except OSError as trouble:
+                raise Unreadable(self.folder / name, trouble) from None
+            segment = read_segment(name, data, self.folder / name)
             if segment.damaged:
                 told.append(f"{segment.damaged}; what follows there does not count, and an audit will say so")
             if segment.torn_at is not None:
@@ -155,7 +206,9 @@
                        key=self.key.name, public=self.key.public, old=old, signed=signed)
         self.disk.write(self.fd, TITLE)
         self.size = len(TITLE)
-        self.append([start, *more], wall)
+        self.append([start], wall)
+        if more:
+            self.append(more, wall)
         self.head(wall)
         self.disk.sync(self.fd)
         self.disk.sync_folder()
@@ -189,6 +242,19 @@
         """After a failed sync: what came after this is not to be trusted and will be written again."""
         self.seq, self.chain = seq, chain
 
+    def retire(self, file: Sealed, why: str, wall: float) -> None:
+        """Remove a sealed file. That it goes, and what follows it, is signed and safe on the disk before."""
+        before = (self.seq, self.chain)
+        try:
+            self.append([encode(Kind.RETIRED, wall, file=file.name, follows=file.follows, link=file.link,
+                                why=why)], wall)
+            self.head(wall)
+            self.sync()
+        except OSError:
+            self.back_to(*before)
+            raise
+        self.disk.remove(file.name)
+
     def close(self, wall: float) -> None:
         if self.fd is not None:
             self.head(wall)
--- a/stepsail/trail/reader.py
+++ b/stepsail/trail/reader.py
@@ -31,6 +31,7 @@
 class Audit:
     """What an audit came to. `notes` are no faults: torn tails, entries behind the last head."""
 
+    first: int = 0  # number of the first entry that is there; more than 0 where older files were retired
     entries: int = 0
     heads: int = 0
     signed_to: int = 0
@@ -40,8 +41,16 @@
 
 
 def segments(disk: Disk, folder: Path) -> Iterator[Segment]:
+    """Each file as found. One at the beginning that a live writer has just retired is passed over; one that the disk
+    does not give back is told by `unreadable`."""
+    begun = False
     for name in names_of_segments(disk):
-        yield read_segment(name, disk.read(name), folder / name)
+        try:
+            yield read_segment(name, disk.read(name), folder / name)
+            begun = True
+        except OSError as trouble:
+            if begun or not isinstance(trouble, FileNotFoundError):
+                yield Segment(name, b"", unreadable=trouble)
 
 
 def _start(segment: Segment) -> dict[str, Any] | None:
@@ -56,10 +65,12 @@
 def counted(disk: Disk, folder: Path) -> Iterator[tuple[str, int, bytes]]:
     """The entries that count, in order: of each segment those before the one that the next segment follows.
 
-    Holds two segments at a time.
+    Holds two segments at a time. Raises OSError where a file cannot be read.
     """
     before: Segment | None = None
     for segment in segments(disk, folder):
+        if segment.unreadable:
+            raise segment.unreadable
         start = _start(segment)
         if start is None:
             continue  # nothing of it counts: a begin that failed
@@ -85,12 +96,16 @@
         self.keys: dict[str, bytes] = {identity(public): public} if public else {}
         self.pinned = public is not None
         self.published = published or []
+        self.begins: tuple[int, bytes] = (0, NO_LINK)  # what the first file says that it follows
+        self.retired: list[tuple[int, int, bytes]] = []  # a RETIRED entry; what the next file follows
 
     def run(self) -> Audit:
         audit, chain, seq = self.audit, NO_LINK, 0
         before: Segment | None = None
         waiting = sorted(self.published, key=lambda h: h.seq)
         for segment in segments(self.disk, self.folder):
+            if segment.unreadable:
+                self._find(segment.name, seq, f"cannot be read: {segment.unreadable}")
             if segment.damaged:
                 self._find(segment.name, seq, f"damaged at byte {segment.damaged.offset}: {segment.damaged}")
             if segment.torn_at is not None:
@@ -102,6 +117,9 @@
                 continue
             if before is not None:
                 chain, seq = self._walk(before, chain, seq, int(start["follows"]), waiting)
+            else:
+                self.begins = seq, chain = int(start["follows"]), bytes(start["link"])
+                self._behind_beginning(segment.name, waiting)
             if (start["follows"], bytes(start["link"])) != (seq, chain):
                 self._find(segment.name, seq, f"says that it follows entry {start['follows']}, and what is there is "
                            "not what it names")
@@ -112,9 +130,23 @@
             chain, seq = self._walk(before, chain, seq, 1 << 62, waiting)
         for head in waiting:
             self._find("", seq, f"a published head at entry {head.seq} lies beyond the trail: cut off behind it")
-        audit.entries, audit.unsigned = seq, seq - audit.signed_to
+        audit.first, audit.entries, audit.unsigned = self.begins[0], seq, seq - max(audit.signed_to, self.begins[0])
+        told = any(self.begins == (follows, link) and at < audit.signed_to for at, follows, link in self.retired)
+        if self.begins[0] and not told:
+            self._find("", self.begins[0], "the trail begins here, and no signed entry says that what was before has "
+                       "been retired: files are missing")
         return audit
 
+    def _behind_beginning(self, file: str, waiting: list[Head]) -> None:
+        """Published heads of files that have been retired: only one at the very end can be compared."""
+        old = [h for h in waiting if h.seq <= self.begins[0]]
+        del waiting[:len(old)]
+        for head in old:
+            if head.seq == self.begins[0] and head.chain != self.begins[1]:
+                self._find(file, head.seq, "is not what a published head binds")
+        if old:
+            self.audit.notes.append(f"{len(old)} published heads are of retired files")
+
     def _find(self, file: str, seq: int, what: str) -> None:
         self.audit.findings.append(Finding(file, seq, what))
 
@@ -150,6 +182,8 @@
                 kind, fields = 0, {}
             if kind == Kind.KEY:
                 self._handed_over(segment.name, number, fields)
+            elif kind == Kind.RETIRED:
+                self.retired.append((number, int(fields.get("follows", 0)), bytes(fields.get("link", b""))))
             chain, seq = link(chain, data), seq + 1
             while heads and heads[0].seq == seq:
                 self._head(segment.name, heads.pop(0), chain)
--- a/stepsail/trail/reconcile.py
+++ b/stepsail/trail/reconcile.py
@@ -24,19 +24,22 @@
 def reconcile(trail: Iterable[tuple[int, Entry]], clients: Iterable[dict[str, Any]]) -> Agreement:
     """Every answer that a client holds must be in the trail once and as it was received.
 
+    Where a trail begins later, as files were retired, a SENT whose ANSWER went with them is no fault.
     `clients`: lines with receipt, verdict, status and digest. An answer without a receipt is a fault.
     """
     found = Agreement()
     kept: dict[str, dict[str, Any]] = {}
+    first = 0
     sent: set[str] = set()
-    for seq, (kind, _, fields) in trail:
+    for at, (seq, (kind, _, fields)) in enumerate(trail):
+        first = first or (0 if at else seq)
         if kind == Kind.ANSWER:
             if fields["receipt"] in kept:
                 found.faults.append(f"entry {seq}: {fields['receipt']} stands twice")
             kept[fields["receipt"]] = fields
         elif kind == Kind.SENT:
             sent.add(fields["receipt"])
-            if fields["receipt"] not in kept:
+            if fields["receipt"] not in kept and not first:
                 found.faults.append(f"entry {seq}: sent, and never kept: {fields['receipt']}")
     seen: set[str] = set()
     for line in clients:
@@ -46,7 +49,8 @@
         if receipt in seen:
             found.faults.append(f"{receipt or 'no receipt'}: received twice")
         elif entry is None:
-            found.faults.append(f"{receipt or 'no receipt'}: received, and not in the trail")
+            older = f", which begins at entry {first}: older files were retired" if first else ""
+            found.faults.append(f"{receipt or 'no receipt'}: received, and not in the trail{older}")
         elif any(entry[what] != line[what] for what in ("verdict", "status", "digest")):
             found.faults.append(f"{receipt}: the client received something else than the trail has")
         else:
--- a/stepsail/umpire/account.py
+++ b/stepsail/umpire/account.py
@@ -27,7 +27,8 @@
         if orders.trail:
             self.trail = Trail(orders.trail, orders.charter.me, Survives(orders.trail_survives),
                                Full(orders.trail_when_full), loop.driver.post, self._says,
-                               segment=orders.trail_segment, reserve=orders.trail_reserve)
+                               segment=orders.trail_segment, reserve=orders.trail_reserve,
+                               keep_age=orders.trail_age, keep_size=orders.trail_size)
 
     def _says(self, event: str, **fields: Any) -> None:
         self.log.warning(event, **fields)
--- a/tests/capture/test_format.py
+++ b/tests/capture/test_format.py
@@ -164,7 +164,7 @@
 
 def test_a_slow_disk_never_holds_up_the_umpire(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     told: list[str] = []
-    monkeypatch.setattr("stepsail.capture.writer.BLOCK", 200)
+    monkeypatch.setattr("stepsail.capture.writer.GATHER", 4)
     real = os.write
 
     def slow(fd: int, data: Any) -> int:
--- a/tests/trail/test_trail.py
+++ b/tests/trail/test_trail.py
@@ -312,7 +312,11 @@
         log.abandon()
     reads: list[str] = []
     real = disk.read
-    disk.read = lambda name: reads.append(name) or real(name)  # type: ignore[func-returns-value, method-assign]
+
+    def noted(name: str, most: int = -1) -> bytes:
+        reads.append(name)
+        return real(name, most)
+    disk.read = noted  # type: ignore[method-assign]
     again = TrailLog(disk, 0, "run", key, tmp_path)
     again.recover()
     assert (again.seq, again.chain, len(reads)) == (log.seq, log.chain, 1)
@@ -401,4 +405,4 @@
 
 
 def test_numbers_of_kinds_are_never_used_for_something_else() -> None:
-    assert [k.value for k in Kind] == list(range(1, 11)) and msgspec.msgpack.decode(answer(1))[0] == 2
+    assert [k.value for k in Kind] == list(range(1, 12)) and msgspec.msgpack.decode(answer(1))[0] == 2
