An emulator: the second driver of the loop, with a virtual clock and a network in memory

Need: rehearsals on real sockets take as long as they last, shift with the machine's load, and end at a handful of umpires. Each process becomes a machine with the loop as it is; where it would wait in poll, a clockwork resumes whoever is due and moves the clock only when nobody is. Streams, listeners and datagrams have latency, loss, rate, cuts, resets at byte n and half-open ends; machines can be frozen, killed and told signals.

Orders that came from addresses in memory (open streams, tasks) are now those in which things came.

--- a/stepsail/cli/main.py
+++ b/stepsail/cli/main.py
@@ -23,9 +23,11 @@
 from stepsail.charter import Faults, read_orders
 from stepsail.charter import reference as reference_page
 from stepsail.cli import captures, logs, trails
+from stepsail.emulate.clockwork import Stuck
+from stepsail.emulate.play import play
 from stepsail.loop import Loop, PollDriver
 from stepsail.standins.day import read_day
-from stepsail.standins.rehearsal import Rehearsal
+from stepsail.standins.rehearsal import Rehearsal, processes
 from stepsail.trail.committer import Locked
 from stepsail.trail.keys import KeyTrouble
 from stepsail.trail.log import Unreadable
@@ -110,8 +112,9 @@
 @click.option("--out", type=click.Path(file_okay=False, path_type=Path), help="Where transcript and logs go.")
 @click.option("--seed", type=int, help="In place of the day's own.")
 @click.option("--json", "as_json", is_flag=True, help="Print the report as JSON.")
+@click.option("--emulated", is_flag=True, help="In virtual time, in one process, the same again for the same seed.")
 @click.option("--umpire-command", hidden=True, multiple=True, help="Tests run a broken umpire by this.")
-def rehearse(day: Path, out: Path | None, seed: int | None, as_json: bool,
+def rehearse(day: Path, out: Path | None, seed: int | None, as_json: bool, emulated: bool,
              umpire_command: tuple[str, ...]) -> None:
     """Play a day against stand-ins, verify the five rules on what the sockets carried, and report."""
     try:
@@ -130,9 +133,13 @@
             def progress(at: float, what: str) -> None:
                 if console.is_terminal:
                     live.update(f"{played.name} seed {played.seed}: {at:5.1f} of {played.length:g} s, {what}")
-            rehearsal = Rehearsal(loop, played, out, list(umpire_command) or None, progress)
+            if emulated:
+                came = play(played, out, progress=progress)
+                click.echo(f"{came.emulated:.0f} s emulated in {came.wall:.1f} s", err=True)
+                sys.exit(_report(out, as_json, [c for c in came.codes if c != 0]))
+            rehearsal = Rehearsal(loop, played, out, processes(list(umpire_command) or None), progress)
             loop.run(rehearsal.run)
-    except (Faults, RuntimeError, OSError) as trouble:
+    except (Faults, RuntimeError, OSError, Stuck) as trouble:
         click.echo(str(trouble), err=True)
         sys.exit(FAILED)
     finally:
--- /dev/null
+++ b/stepsail/emulate/actors.py
@@ -0,0 +1,104 @@
+"""Umpires of an emulated day: the daemon itself, each on a machine of its own in this process."""
+
+from __future__ import annotations
+
+import signal
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from stepsail.balance import Umpire
+from stepsail.charter import Faults, read_orders
+from stepsail.cli.logs import LEVELS
+from stepsail.emulate.clockwork import Clockwork, Machine
+from stepsail.emulate.driver import EmulatedDriver
+from stepsail.emulate.network import Network
+from stepsail.interface import MakeUmpire
+from stepsail.loop import Loop
+from stepsail.standins.rehearsal import Actor, Hire
+from stepsail.standins.transcript import Transcript
+from stepsail.umpire.life import Daemon
+
+FAILED = 1  # exit code of a daemon that ended by an error
+
+
+class EmulatedLog:
+    """An umpire's log on the virtual clock: one JSON object a line, as the daemon writes it."""
+
+    def __init__(self, clockwork: Clockwork, file: Path, level: str, **always: Any) -> None:
+        self.clockwork, self.file, self.least, self.always = clockwork, file, LEVELS[level], always
+
+    def _write(self, level: str, event: str, fields: dict[str, Any]) -> None:
+        if LEVELS[level] >= self.least:
+            line = {"at": round(self.clockwork.now, 6), "level": level, "event": event, **self.always, **fields}
+            with self.file.open("ab") as out:
+                out.write(msgspec.json.encode(line, enc_hook=str) + b"\n")
+
+    def debug(self, event: str, **fields: Any) -> None:
+        self._write("debug", event, fields)
+
+    def info(self, event: str, **fields: Any) -> None:
+        self._write("info", event, fields)
+
+    def warning(self, event: str, **fields: Any) -> None:
+        self._write("warning", event, fields)
+
+    def error(self, event: str, **fields: Any) -> None:
+        self._write("error", event, fields)
+
+
+class EmulatedUmpire(Actor):
+    """The daemon of `stepsail umpire` on an emulated machine. No audit trail: its thread keeps real time."""
+
+    clockwork: Clockwork
+    network: Network
+    make: MakeUmpire
+    machine: Machine | None = None
+
+    def start(self) -> None:
+        name = f"umpire {self.number}"
+        self.machine = Machine(self.clockwork, EmulatedDriver(self.clockwork, self.network, name), name, self._main)
+        self.machine.start()
+        self.transcript.add("umpire", "started", umpire=self.number)
+
+    def _main(self, loop: Loop) -> int:
+        orders = read_orders(self.file)
+        if orders.trail:
+            raise ValueError(f"{self.file}: an emulated umpire keeps no trail; take 'trail' out of the site's file")
+        log = EmulatedLog(self.clockwork, self.log, orders.log_level, umpire=self.number)
+        loop.report = lambda event, **fields: log.warning(event, **fields)
+        try:
+            code: int = loop.run(Daemon(loop, orders, self.make, log, orders.log_level == "debug").run)
+        except (OSError, Faults) as trouble:
+            log.error("cannot_run", error=str(trouble))
+            return FAILED
+        return code
+
+    def ended(self) -> bool:
+        return self.machine is None or not self.machine.runs()
+
+    def signal(self, number: int) -> None:
+        assert self.machine
+        if number == signal.SIGSTOP:
+            self.machine.freeze()
+        elif number == signal.SIGCONT:
+            self.machine.thaw()
+        elif number == signal.SIGKILL:
+            self.machine.kill()
+        else:
+            self.machine.signal(number)
+
+    def code(self) -> int | None:
+        if self.machine is None or not self.machine.done:
+            return None if self.machine is None else -signal.SIGKILL
+        return FAILED if self.machine.error else self.machine.result
+
+
+def emulated(clockwork: Clockwork, network: Network, make: MakeUmpire = Umpire) -> Hire:
+    """Umpires as machines of this emulation; `make`: another build of the module, for comparisons."""
+    def hire(loop: Loop, number: int, zone: str, out: Path, transcript: Transcript) -> Actor:
+        actor = EmulatedUmpire(loop, number, zone, network.free_address(), out, transcript)
+        actor.clockwork, actor.network, actor.make = clockwork, network, make
+        return actor
+    return hire
--- a/stepsail/loop/hub.py
+++ b/stepsail/loop/hub.py
@@ -77,7 +77,7 @@
         self.done, self.call, self.args, self.greenlet = True, lambda: None, (), None
         if self.tidy:
             self.tidy.cancel()
-        self.loop.tasks.discard(self)
+        self.loop.tasks.pop(self, None)
         for joiner in self.joiners:
             joiner.wake()
 
@@ -150,7 +150,7 @@
         self.home = getcurrent()
         self.turns: deque[tuple[Task, Any, BaseException | None]] = deque()
         self.timers = Timers()
-        self.tasks: set[Task] = set()
+        self.tasks: dict[Task, None] = {}  # in the order they were spawned
         self.running: Task | None = None
         self.stopping: BaseException | None = None
         self.report = report or _to_stderr
@@ -163,7 +163,7 @@
         if len(self.tasks) >= MOST_TASKS:
             raise LoopError(f"{MOST_TASKS} tasks run already")
         task = Task(self, name or getattr(call, "__qualname__", "task"), call, args, essential)
-        self.tasks.add(task)
+        self.tasks[task] = None
         self.turns.append((task, None, None))
         return task
 
--- a/stepsail/loop/stream.py
+++ b/stepsail/loop/stream.py
@@ -113,7 +113,8 @@
 
     def __init__(self, loop: Loop, address: Address, most: int, backlog: int = BACKLOG) -> None:
         self.loop, self.port, self.most = loop, loop.driver.listen(address, backlog), most
-        self.address, self.open = self.port.name(), set[Stream]()
+        self.address = self.port.name()
+        self.open: dict[Stream, None] = {}  # in the order they came, which a replay of chance keeps
         self.room: Waiter | None = None
 
     def serve(self, handle: Callable[[Stream], Any], name: str) -> None:
@@ -135,7 +136,7 @@
                     return
                 continue
             stream = Stream(self.loop, *taken)
-            self.open.add(stream)
+            self.open[stream] = None
             self.loop.spawn(self._one, handle, stream, name=f"{name} {stream.peer[0]}:{stream.peer[1]}")
             self.loop.spend()
 
@@ -153,7 +154,7 @@
             pass  # the other end's doing; whoever must know has been told by the handler
         finally:
             stream.close()
-            self.open.discard(stream)
+            self.open.pop(stream, None)
             if self.room:
                 self.room.wake()
 
--- a/stepsail/standins/link.py
+++ b/stepsail/standins/link.py
@@ -35,7 +35,7 @@
         self.listener = Listener(loop, at, 4096)
         self.address = self.listener.address
         self.healed: Event | None = None
-        self.met: set[Stream] = set()
+        self.met: dict[Stream, None] = {}
         loop.spawn(self.listener.serve, self._carry, name, name=name)
 
     def cut(self) -> None:
@@ -58,7 +58,7 @@
             near.abort()
             return
         if self.healed:
-            self.met.add(near)
+            self.met[near] = None
             self.healed.wait()
             return
         try:
--- a/stepsail/standins/rehearsal.py
+++ b/stepsail/standins/rehearsal.py
@@ -41,46 +41,49 @@
         return found[0], found[1]
 
 
-class UmpireProcess:
-    """One umpire as a process, with its file of settings and its log."""
+class Actor:
+    """One umpire of a rehearsal, with its file of settings and its log; where it runs is its kind's matter."""
 
-    def __init__(self, loop: Loop, number: int, zone: str, listen: Address, out: Path, command: list[str],
+    def __init__(self, loop: Loop, number: int, zone: str, listen: Address, out: Path,
                  transcript: Transcript) -> None:
         self.loop, self.number, self.zone, self.listen = loop, number, zone, listen
         self.file, self.log = out / f"umpire-{number}.conf", out / f"umpire-{number}.log"
-        self.command, self.transcript = command, transcript
-        self.process: subprocess.Popen[bytes] | None = None
-        self.code: int | None = None
+        self.transcript = transcript
 
     def start(self) -> None:
-        with self.log.open("ab") as log:
-            self.process = subprocess.Popen([*self.command, str(self.file)], stdin=subprocess.DEVNULL,
-                                            stdout=log, stderr=log)
-        self.transcript.add("umpire", "started", umpire=self.number)
+        raise NotImplementedError
+
+    def ended(self) -> bool:
+        """Whether it runs no more."""
+        raise NotImplementedError
+
+    def signal(self, number: int) -> None:
+        """What a process would be sent."""
+        raise NotImplementedError
+
+    def code(self) -> int | None:
+        """Its exit code, once it has ended."""
+        raise NotImplementedError
 
     def send(self, number: int, what: str) -> None:
-        if self.process and self.process.poll() is None:
+        if not self.ended():
             self.transcript.add("umpire", what, umpire=self.number)
-            self.process.send_signal(number)
+            self.signal(number)
 
     def kill(self) -> None:
         self.send(signal.SIGKILL, "killed")
-        if self.process:
-            self.process.wait()
 
     def leave(self) -> int | None:
         """Ask it to stop, and wait; its exit code, or None if it had to be killed."""
-        if self.process is None:
-            return None
         self.send(signal.SIGTERM, "told to leave")
         until = self.loop.now() + STOP_WITHIN
-        while self.process.poll() is None and self.loop.now() < until:
+        while not self.ended() and self.loop.now() < until:
             self.loop.sleep(LOOK)
-        if self.process.poll() is None:
+        if not self.ended():
             self.kill()
             return None
-        self.transcript.add("umpire", "ended", umpire=self.number, code=self.process.returncode)
-        return self.process.returncode
+        self.transcript.add("umpire", "ended", umpire=self.number, code=self.code())
+        return self.code()
 
     def ready(self) -> bool:
         """Whether it says that it is; waits a moment for its answer."""
@@ -97,13 +100,49 @@
             return False
 
 
+class UmpireProcess(Actor):
+    """An umpire as a process of its own."""
+
+    command: list[str]
+    process: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> None:
+        with self.log.open("ab") as log:
+            self.process = subprocess.Popen([*self.command, str(self.file)], stdin=subprocess.DEVNULL,
+                                            stdout=log, stderr=log)
+        self.transcript.add("umpire", "started", umpire=self.number)
+
+    def ended(self) -> bool:
+        return self.process is None or self.process.poll() is not None
+
+    def signal(self, number: int) -> None:
+        if self.process:
+            self.process.send_signal(number)
+            if number == signal.SIGKILL:
+                self.process.wait()
+
+    def code(self) -> int | None:
+        return self.process.returncode if self.process else None
+
+
+Hire = Callable[[Loop, int, str, Path, Transcript], Actor]
+
+
+def processes(command: list[str] | None = None) -> Hire:
+    """Umpires as processes that run this command, or the usual one."""
+    def hire(loop: Loop, number: int, zone: str, out: Path, transcript: Transcript) -> Actor:
+        actor = UmpireProcess(loop, number, zone, free_address(), out, transcript)
+        actor.command = command or [sys.executable, "-m", "stepsail", "umpire"]
+        return actor
+    return hire
+
+
 class Rehearsal:
     """One playing of a day; everything it leaves goes to `out`."""
 
-    def __init__(self, loop: Loop, day: Day, out: Path, command: list[str] | None = None,
+    def __init__(self, loop: Loop, day: Day, out: Path, hire: Hire | None = None,
                  progress: Callable[[float, str], None] | None = None) -> None:
-        self.loop, self.day, self.out = loop, day, out
-        self.command = command or [sys.executable, "-m", "stepsail", "umpire"]
+        self.loop, self.day, self.out, self.hire = loop, day, out, hire or processes()
         self.progress = progress or (lambda at, what: None)
         out.mkdir(parents=True, exist_ok=True)
         self.transcript = Transcript(loop, out / "transcript.jsonl")
@@ -143,8 +182,7 @@
         loop, day = self.loop, self.day
         world = World(loop, day, orders, self.transcript, zones)
         self.transcript.add("day", "facts", name=day.name, seed=day.seed, **world.facts())
-        self.umpires = [UmpireProcess(loop, n, zone, free_address(), self.out, self.command, self.transcript)
-                        for n, zone in enumerate(zones)]
+        self.umpires = [self.hire(loop, n, zone, self.out, self.transcript) for n, zone in enumerate(zones)]
         try:
             for umpire in self.umpires:
                 self._write(umpire.file, umpire.number, umpire.zone, umpire.listen,
@@ -161,7 +199,7 @@
         until = self.loop.now() + READY_WITHIN
         for umpire in self.umpires:
             while not umpire.ready():
-                if self.loop.now() > until or (umpire.process and umpire.process.poll() is not None):
+                if self.loop.now() > until or umpire.ended():
                     raise RuntimeError(f"umpire {umpire.number} is not ready; see {umpire.log}")
                 self.loop.sleep(LOOK)
 
--- a/stepsail/umpire/door.py
+++ b/stepsail/umpire/door.py
@@ -41,7 +41,7 @@
         self.tenants = {name.encode(): at for at, name in enumerate(orders.tenants)}
         self.tenant_header = orders.tenant_header.lower().encode()
         self.subject_header = orders.subject_header.lower().encode()
-        self.idle: set[Stream] = set()
+        self.idle: dict[Stream, None] = {}
         self.secret = os.urandom(16)
         routes = sorted(orders.routes, key=lambda r: -len(r.path))
         self.routes = [(r.method.encode(), r.path.encode(), r.product) for r in routes]
@@ -62,7 +62,7 @@
     def client(self, stream: Stream) -> None:
         inlet = Inlet(self.loop, stream, self.bounds)
         while not self.leaving:
-            self.idle.add(stream)
+            self.idle[stream] = None
             try:
                 request = inlet.next()
             except BadMessage as trouble:
@@ -72,7 +72,7 @@
                     self._drain(stream)
                 return
             finally:
-                self.idle.discard(stream)
+                self.idle.pop(stream, None)
             if request is None:
                 return
             if not self._serve(inlet, stream, request):
--- a/stepsail/umpire/life.py
+++ b/stepsail/umpire/life.py
@@ -110,7 +110,7 @@
     def _leave(self, tasks: list[Task]) -> int:
         self.log.info("leaving", held=len(self.host.held))
         self.door.leave()
-        open_streams = self.door.listener.open if self.door.listener else set()
+        open_streams = self.door.listener.open if self.door.listener else {}
         with self.loop.timeout(self.orders.leave_within) as scope:
             while open_streams or any(not h.closed for h in self.host.held.values()):
                 self.loop.sleep(LOOK)
