--- a/stepsail/capture/seam.py
+++ b/stepsail/capture/seam.py
@@ -58,6 +58,11 @@
     def __init__(self, recorder: Recorder, real: ServerHandle, number: int) -> None:
         self.recorder, self.real, self.number, self.address = recorder, real, number, real.address
 
+    @property
+    def build(self) -> Any:
+        """Asked for with every relay: found here, it costs no second look-up."""
+        return self.real.build  # type: ignore[attr-defined]
+
     def __getattr__(self, name: str) -> Any:
         return getattr(self.real, name)
 
--- a/stepsail/charter/words.py
+++ b/stepsail/charter/words.py
@@ -58,11 +58,25 @@
     return text
 
 
+def _ranged(one: Callable[[str], Any]) -> Callable[[str], list[Any]]:
+    """A value, or the ends of a range from which it is drawn: `2s` or `1s..4s`."""
+    def read(text: str) -> list[Any]:
+        low, dots, high = text.partition("..")
+        ends = [one(low), one(high if dots else low)]
+        if ends[0] > ends[1]:
+            raise ValueError("a range from the lower to the higher value")
+        return ends
+    return read
+
+
 KINDS: dict[str, Callable[[str], Any]] = {
     "time": _duration, "share": _share, "whole": _whole, "number": _number, "yes": _yes, "address": _address,
-    "size": _size, "text": str}
+    "size": _size, "text": str,
+    "times": _ranged(_duration), "shares": _ranged(_share), "numbers": _ranged(_number), "wholes": _ranged(_whole)}
 TYPES = {"time": "number", "share": "number", "whole": "integer", "number": "number", "yes": "boolean",
-         "address": "string", "size": "integer", "text": "string"}
+         "address": "string", "size": "integer", "text": "string", "times": "number", "shares": "number",
+         "numbers": "number", "wholes": "integer"}
+RANGED = ("times", "shares", "numbers", "wholes")  # a value or a range of them, as a list of both ends
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,6 +92,8 @@
 
     def schema(self) -> dict[str, Any]:
         one = {"type": TYPES[self.kind], **self.bounds}
+        if self.kind in RANGED:
+            return {"type": "array", "items": one, "minItems": 2, "maxItems": 2}
         return {"type": "array", "items": one, "minItems": 1} if self.rest else one
 
 
--- /dev/null
+++ b/stepsail/cli/experiments.py
@@ -0,0 +1,183 @@
+"""Sub-commands on experiments: run, list, show, compare, report; and the hunt."""
+
+from __future__ import annotations
+
+import copy
+import os
+import sys
+import tempfile
+from pathlib import Path
+
+import click
+import polars
+from rich.console import Console
+from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn, TimeRemainingColumn
+from rich.table import Table as Shown
+
+from stepsail.charter import Faults
+from stepsail.emulate.play import play
+from stepsail.experiment.baselines import MODULES
+from stepsail.experiment.compare import paired
+from stepsail.experiment.grid import grid, run_grid
+from stepsail.experiment.hunt import shrink, text_of
+from stepsail.experiment.report import by_day, page
+from stepsail.experiment.table import JOURNAL, read_rows
+from stepsail.standins.day import Day, read_day
+from stepsail.verify import read_history, verify
+
+BAD, MISUSED = 1, 2
+FOLDER = click.Path(file_okay=False, path_type=Path)
+
+
+def numbers(text: str) -> list[int]:
+    """`1..20`, or `3,5,9`."""
+    try:
+        low, dots, high = text.partition("..")
+        return list(range(int(low), int(high) + 1)) if dots else [int(x) for x in text.split(",") if x]
+    except ValueError:
+        raise click.BadParameter(f"{text!r} is neither a range such as 1..20 nor a list such as 3,5,9") from None
+
+
+def _rows(folder: Path) -> polars.DataFrame:
+    try:
+        rows = read_rows(folder)
+    except OSError as trouble:
+        click.echo(f"{folder} holds no experiment: {trouble}", err=True)
+        sys.exit(MISUSED)
+    if rows.is_empty():
+        click.echo(f"{folder}: no run has ended yet", err=True)
+        sys.exit(MISUSED)
+    return rows
+
+
+@click.group()
+def experiment() -> None:
+    """Grids of emulated days, kept as tables and compared."""
+
+
+@experiment.command(name="run")
+@click.argument("folder", type=FOLDER)
+@click.argument("days", type=click.Path(exists=True, dir_okay=False, path_type=Path), nargs=-1, required=True)
+@click.option("--seeds", default="1..5", show_default=True)
+@click.option("--modules", default="stepsail", show_default=True, help=f"Of {', '.join(MODULES)}.")
+@click.option("--umpires", default="", help="Numbers of umpires in place of the days' own.")
+@click.option("--workers", default=max(1, (os.cpu_count() or 2) - 2), show_default=True)
+def run_command(folder: Path, days: tuple[Path, ...], seeds: str, modules: str, umpires: str, workers: int) -> None:
+    """Play each day with each seed and module; what FOLDER has already is not played again."""
+    chosen = modules.split(",")
+    unknown = [m for m in chosen if m not in MODULES]
+    if unknown:
+        raise click.BadParameter(f"no module is called {unknown[0]}; there are {', '.join(MODULES)}")
+    runs = grid(days, numbers(seeds), chosen, numbers(umpires))
+    columns = (TextColumn("{task.description}"), BarColumn(), MofNCompleteColumn(), TimeRemainingColumn())
+    with Progress(*columns, console=Console(stderr=True), transient=True) as shown:
+        task = shown.add_task(folder.name, total=len(runs))
+        count = run_grid(runs, folder, workers, lambda done, _: shown.update(task, completed=done))
+    rows = _rows(folder)
+    lost, broken = rows.filter(polars.col("failed") != ""), int(rows["breaches"].fill_null(0).sum())
+    click.echo(f"{count} runs now, {len(rows)} in all; {len(lost)} could not be played, {broken} breaches")
+    wrong = rows.filter((polars.col("failed") != "") | (polars.col("breaches") > 0))
+    for row in wrong.head(20).iter_rows(named=True):
+        click.echo(f"{row['key']}: {row['failed'] or row['breach']}", err=True)
+    sys.exit(BAD if broken or len(lost) else 0)
+
+
+@experiment.command(name="list")
+@click.argument("folder", type=FOLDER, default=Path("."))
+def list_command(folder: Path) -> None:
+    """The experiments below a folder."""
+    for journal in sorted(folder.rglob(JOURNAL)):
+        rows = read_rows(journal.parent)
+        click.echo(f"{journal.parent}: {len(rows)} runs" + (
+            f" of {rows['day'].n_unique()} days, {', '.join(sorted(set(rows['module'])))}" if len(rows) else ""))
+
+
+@experiment.command()
+@click.argument("folder", type=FOLDER)
+@click.option("--csv", "as_csv", is_flag=True, help="Every run, as CSV.")
+def show(folder: Path, as_csv: bool) -> None:
+    """Each day and module, the worst first."""
+    rows = _rows(folder)
+    if as_csv:
+        click.echo(rows.write_csv(), nl=False)
+        return
+    table = Shown("day", "module", "umpires", "runs", "service", "worst", "breaches", "right", "cold peak", "99% s")
+    for r in by_day(rows).iter_rows(named=True):
+        table.add_row(r["day"], r["module"], str(r["umpires"]), str(r["runs"]), f"{r['service']:.3f}",
+                      f"{r['worst']:.3f}", str(r["breaches"]), f"{r['right']}/{r['releases']}",
+                      f"{r['cold_peak']:.2f}", f"{r['p99']:.2f}")
+    Console().print(table)
+
+
+@experiment.command()
+@click.argument("folder", type=FOLDER)
+@click.argument("one")
+@click.argument("other")
+@click.option("--by", default="module", show_default=True, type=click.Choice(["module", "commit"]))
+@click.option("--what", default="service", show_default=True)
+def compare(folder: Path, one: str, other: str, by: str, what: str) -> None:
+    """OTHER less ONE on the same days and seeds, with 95% intervals."""
+    rows = _rows(folder)
+    if what not in rows.columns:
+        raise click.BadParameter(f"no column {what!r}; there are {', '.join(rows.columns)}")
+    table = Shown("day", "pairs", f"{what}: mean", "95% interval", "sure", "pairs to tell 0.01")
+    for day, d in paired(rows, by, one, other, what).items():
+        table.add_row(day or "all", str(d.pairs), f"{d.mean:+.4f}", f"{d.low:+.4f} to {d.high:+.4f}",
+                      "yes" if d.sure else "no", f"{d.needed:g}")
+    Console().print(table)
+
+
+@experiment.command()
+@click.argument("folder", type=FOLDER)
+@click.option("--out", type=click.Path(dir_okay=False, path_type=Path), help="Else report.html in FOLDER.")
+def report(folder: Path, out: Path | None) -> None:
+    """One HTML page with tables and charts, that opens without network."""
+    file = out or folder / "report.html"
+    file.write_text(page(_rows(folder), folder.name), "utf-8")
+    click.echo(str(file))
+
+
+def _breaks(day: Day) -> set[int]:
+    """The rules that playing this day breaks."""
+    with tempfile.TemporaryDirectory() as name:
+        play(copy.deepcopy(day), Path(name))
+        return {b.rule for b in verify(read_history(Path(name) / "transcript.jsonl"))}
+
+
+@click.command()
+@click.argument("days", type=click.Path(exists=True, dir_okay=False, path_type=Path), nargs=-1, required=True)
+@click.option("--seeds", default="1..100", show_default=True)
+@click.option("--rows", type=FOLDER, help="Where the runs are kept; else a folder that goes.")
+@click.option("--found", type=FOLDER, default=Path("days/found"), show_default=True)
+@click.option("--lose", type=float, default=0.0, help="Also days whose service is below this.")
+@click.option("--workers", default=max(1, (os.cpu_count() or 2) - 2), show_default=True)
+def hunt(days: tuple[Path, ...], seeds: str, rows: Path | None, found: Path, lose: float, workers: int) -> None:
+    """Draw days until one breaks a rule or loses, and cut each find down to the smallest that still does."""
+    folder = rows or Path(tempfile.mkdtemp(prefix="stepsail-hunt-"))
+    runs = grid(days, numbers(seeds), ["stepsail"], [])
+    with Progress(console=Console(stderr=True), transient=True) as shown:
+        task = shown.add_task("days", total=len(runs))
+        run_grid(runs, folder, workers, lambda done, _: shown.update(task, completed=done))
+    table = _rows(folder)
+    broken = (polars.col("failed") != "") | (polars.col("breaches") > 0)
+    caught = table.filter(broken | (polars.col("service") < lose))
+    click.echo(f"{len(table)} days, {len(caught)} caught")
+    for row in caught.iter_rows(named=True):
+        click.echo(f"{row['key']}: {row['failed'] or row['breach'] or row['service']}")
+        if row["failed"]:
+            continue
+        try:
+            day = read_day(Path(row["file"]), row["seed"])
+        except Faults as faults:
+            click.echo(str(faults), err=True)
+            continue
+        rules = _breaks(day)
+        if rules:
+            day = shrink(day, lambda candidate, rules=rules: bool(rules & _breaks(candidate)))  # type: ignore[misc]
+        found.mkdir(parents=True, exist_ok=True)
+        file = found / f"{row['day']}-{row['seed']}.conf"
+        site = Path(os.path.relpath(day.site.resolve(), found.resolve()))
+        why = f"rule {', '.join(map(str, sorted(rules)))} broken" if rules else f"service {row['service']:.3f}"
+        file.write_text(f"# Found by a hunt: {why}, commit {row['commit']}.\n" + text_of(day, site), "utf-8")
+        click.echo(f"  {file}: {len(day.troubles)} troubles, {len(day.offers)} offers, {day.length:g} s")
+    sys.exit(BAD if len(caught) else 0)
--- a/stepsail/cli/main.py
+++ b/stepsail/cli/main.py
@@ -11,6 +11,7 @@
 import sys
 import tempfile
 import traceback
+from importlib import import_module
 from pathlib import Path
 from typing import Any
 
@@ -40,7 +41,22 @@
 FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
 
 
-@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+class Later(click.Group):
+    """Loads what experiments need only when it is asked for: an umpire starts without data frames and charts."""
+
+    names = ("experiment", "hunt")
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return sorted({*super().list_commands(ctx), *self.names})
+
+    def get_command(self, ctx: click.Context, name: str) -> click.Command | None:
+        if name in self.names:
+            found: click.Command = getattr(import_module("stepsail.cli.experiments"), name)
+            return found
+        return super().get_command(ctx, name)
+
+
+@click.group(cls=Later, context_settings={"help_option_names": ["-h", "--help"]})
 @click.version_option(package_name=None, version="0.2.0", prog_name="stepsail")
 def main() -> None:
     """A transaction router and release judge."""
@@ -118,12 +134,10 @@
              umpire_command: tuple[str, ...]) -> None:
     """Play a day against stand-ins, verify the five rules on what the sockets carried, and report."""
     try:
-        played = read_day(_day_file(day))
+        played = read_day(_day_file(day), seed)
     except Faults as faults:
         _tell_faults(faults)
         sys.exit(MISUSED)
-    if seed is not None:
-        played.seed = seed
     out = out or Path(tempfile.mkdtemp(prefix=f"stepsail-{played.name}-"))
     log = logs.begin("console", "warning")
     console, driver = Console(stderr=True), PollDriver()
--- a/stepsail/standins/box.py
+++ b/stepsail/standins/box.py
@@ -52,6 +52,7 @@
 
     slow: float = 1.0  # by something that all depend on
     shared: float = 1.0  # by a build that slows all, in step with its traffic
+    heavy: tuple[float, float] = (0.0, 1.0)  # a part of the transactions, and how many times the work they take
 
 
 @dataclass
@@ -196,6 +197,8 @@
         umpire = int(via.rsplit(b"-", 1)[1]) if b"umpire-" in via else -1
         # The same transaction takes about the same work wherever and whenever it is sent.
         work = min(LONGEST_WORK, Random(f"{number} work").expovariate(1.0)) * sort.work
+        if self.weather.heavy[0] and Random(f"{number} heavy").random() < self.weather.heavy[0]:
+            work *= self.weather.heavy[1]
         told = {"box": self.name, "id": number, "umpire": umpire}
         self.transcript.add("box", "relay", **told, zone=self.zone, build=self.build.number, product=sort.name,
                             work=round(work, 4))
--- a/stepsail/standins/day.py
+++ b/stepsail/standins/day.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 from pathlib import Path
+from random import Random
 from typing import Any
 
 from stepsail.charter.read import Faults, Reader
@@ -19,7 +20,18 @@
     "stop-umpire": "An umpire's process stands still.", "stall-conveyor": "Release control answers nothing.",
     "break-conveyor": "Release control answers with errors.", "late-news": "News comes later by so much.",
     "slow-all": "Every box is slower by so much.", "burst": "Traffic grows by so much.",
-    "stall-roster": "The roster answers nothing."}
+    "stall-roster": "The roster answers nothing.",
+    "kill-boxes": "A part of the boxes dies at once and comes back cold.",
+    "kill-zone": "All boxes of a zone die at once and come back cold.",
+    "pause-boxes": "A part of the boxes stands still for so long (size, s), again and again.",
+    "noisy-boxes": "A part of the boxes loses so much of its capacity (size, a share) to a neighbour.",
+    "heavy-work": "A part of the transactions takes so many times the work (size).",
+    "restart-umpires": "A part of the umpires is killed, one after the other, each back within 2 s.",
+    "pause-umpires": "A part of the umpires stands still for so long (size, s), every 2 to 4 s.",
+    "slow-zone": "The ways to a zone take longer (size, s) and lose a part of what is sent.",
+    "retry-storm": "Clients try so many times more (size), at once.",
+    "curve": "Traffic rises to so many times the usual and falls again, as a day does."}
+MOST_DRAWN = 64  # troubles of a day
 
 BOXES = (
     Word("count", "Places for boxes, spread over the zones.", (arg("count", "whole", minimum=1, maximum=500),),
@@ -43,7 +55,9 @@
     Word("demand", "A product's share of the traffic and its mean work on one core.", (
         arg("product", "text"), arg("share", "share", keyword="share", **SHARE),
         arg("work", "time", keyword="work", **TIME)), many=True, needed=True),
-    Word("traffic", "Transactions a second.", (arg("rate", "number", exclusiveMinimum=0),), needed=True),
+    Word("traffic", "Transactions a second.", (arg("rate", "numbers", exclusiveMinimum=0),), needed=True),
+    Word("troubles", "How many of the troubles below befall the day; absent: all.", (
+        arg("count", "wholes", maximum=MOST_DRAWN),)),
     Word("roster-late", "Time from a change to its listing.", (arg("time", "time", **TIME),), absent=0.8),
     Word("news-late", "Time from a change to its news.", (arg("time", "time", **TIME),), absent=0.4),
     Word("cross-delay", "Time one way between zones.", (arg("time", "time", **TIME),), absent=0.001),
@@ -51,25 +65,29 @@
          absent=1.5),
     Word("retries", "Tries beyond the first.", (arg("count", "whole", maximum=10),), absent=2),
     Word("offer", "A build is offered: what it does, how much, to which product, its speed.", (
-        arg("time", "time", keyword="at", **TIME), arg("kind", "text", enum=list(KINDS)),
-        arg("size", "number", keyword="size", optional=True),
+        arg("time", "times", keyword="at", **TIME), arg("kind", "text", enum=list(KINDS)),
+        arg("size", "numbers", keyword="size", optional=True),
         arg("product", "text", keyword="product", optional=True),
-        arg("speed", "number", keyword="speed", optional=True, exclusiveMinimum=0)), many=True),
+        arg("speed", "numbers", keyword="speed", optional=True, exclusiveMinimum=0),
+        arg("chance", "share", keyword="chance", optional=True, **SHARE)), many=True),
     Word("trouble", "Something goes wrong.", (
-        arg("kind", "text", enum=list(TROUBLES)), arg("time", "time", keyword="at", **TIME),
-        arg("length", "time", keyword="for", **TIME), arg("of", "whole", keyword="of", optional=True),
-        arg("size", "number", keyword="size", optional=True)), many=True))
+        arg("kind", "text", enum=list(TROUBLES)), arg("time", "times", keyword="at", **TIME),
+        arg("length", "times", keyword="for", **TIME), arg("of", "wholes", keyword="of", optional=True),
+        arg("size", "numbers", keyword="size", optional=True),
+        arg("part", "shares", keyword="part", optional=True, **SHARE),
+        arg("chance", "share", keyword="chance", optional=True, **SHARE)), many=True))
 
 
 @dataclass
 class Trouble:
-    """One trouble: when it begins and how long it lasts (s), which one it meets, how strong it is."""
+    """One trouble: when it begins and how long it lasts (s), which one it meets or what part, how strong it is."""
 
     kind: str
     at: float
     length: float
     of: int = 0
     size: float = 1.0
+    part: float = 0.5
 
 
 @dataclass
@@ -96,28 +114,64 @@
     troubles: list[Trouble] = field(default_factory=list)
 
 
-def read_day(file: Path) -> Day:
-    """Raises Faults with everything that is wrong."""
+def _drawn(random: Random, ends: list[Any] | None, absent: float) -> Any:
+    """A value from a range; a whole number from whole ones. Draws even where there is nothing to choose, so that one
+    range more or less does not change what others come to."""
+    luck = random.random()
+    if ends is None:
+        return absent
+    low, high = ends
+    if isinstance(low, int) and isinstance(high, int):
+        return low + min(high - low, int(luck * (high - low + 1)))
+    return low + luck * (high - low)
+
+
+def _offers(told: list[dict[str, Any]], random: Random) -> list[tuple[float, Build]]:
+    drawn = []
+    for offer in told:
+        at, size = _drawn(random, offer["time"], 0.0), _drawn(random, offer.get("size"), 0.0)
+        speed = _drawn(random, offer.get("speed"), 1.0)
+        if random.random() < offer.get("chance", 1.0):
+            drawn.append((at, offer["kind"], size, offer.get("product", ""), speed))
+    return [(at, Build(number + 2, *rest)) for number, (at, *rest) in enumerate(sorted(drawn))]
+
+
+def _troubles(told: list[dict[str, Any]], most: list[int] | None, random: Random) -> list[Trouble]:
+    drawn = []
+    for t in told:
+        one = Trouble(t["kind"], _drawn(random, t["time"], 0.0), _drawn(random, t["length"], 0.0),
+                      _drawn(random, t.get("of"), 0), _drawn(random, t.get("size"), 1.0),
+                      _drawn(random, t.get("part"), 0.5))
+        if random.random() < t.get("chance", 1.0):
+            drawn.append(one)
+    if most is not None:
+        count = _drawn(random, most, 0)
+        while len(drawn) > count:
+            drawn.pop(random.randrange(len(drawn)))
+    return drawn
+
+
+def read_day(file: Path, seed: int | None = None) -> Day:
+    """What is given as a range is drawn by this seed, or by the file's own. Raises Faults with all that is wrong."""
     tree = Reader(WORDS).read(file)
     top: dict[str, Any] = {w.name: w.absent for w in WORDS} | tree.values
     boxes = {w.name: w.absent for w in BOXES} | top["boxes"]
     demand = {d["product"]: (d["share"], d["work"]) for d in top["demand"]}
     for at, trouble in enumerate(top["trouble"] or []):
         most = {"box": boxes["count"], "umpire": top["umpires"]}.get(trouble["kind"].split("-")[-1], 1 << 30)
-        if trouble.get("of", 0) >= most:
+        if trouble.get("of", [0, 0])[1] >= most:
             tree.complain(tree.at("trouble", at, "of"), f"there are only {most}, numbered from 0")
     for at, offer in enumerate(top["offer"] or []):
         if (offer["kind"] == "product") != ("product" in offer) or offer.get("product", "") not in ("", *demand):
             tree.complain(tree.at("offer", at), "kind 'product' names a product that is asked for; others none")
     if tree.faults:
         raise Faults(tree.faults)
-    offers = [(o["time"], Build(at + 2, o["kind"], o.get("size", 0.0), o.get("product", ""), o.get("speed", 1.0)))
-              for at, o in enumerate(sorted(top["offer"] or [], key=lambda o: float(o["time"])))]
-    troubles = [Trouble(t["kind"], t["time"], t["length"], t.get("of", 0), t.get("size", 1.0))
-                for t in top["trouble"] or []]
+    seed = top["seed"] if seed is None else seed
+    random = Random(f"{seed} draw")
     return Day(
         file.parent.name if file.stem == "day" else file.stem, file.parent / top["site"], top["length"],
-        top["seed"], top["umpires"], boxes["count"],
+        seed, top["umpires"], boxes["count"],
         Shape(boxes["cores"], boxes["queue"], fall_for=boxes["fall-for"], report_every=boxes["report-every"]),
-        boxes["boot"], boxes["drain-for"], demand, top["traffic"], top["roster-late"], top["news-late"],
-        top["cross-delay"], top["notice"], Manners(retries=top["retries"]), offers, troubles)
+        boxes["boot"], boxes["drain-for"], demand, _drawn(random, top["traffic"], 0.0), top["roster-late"],
+        top["news-late"], top["cross-delay"], top["notice"], Manners(retries=top["retries"]),
+        _offers(top["offer"] or [], random), _troubles(top["trouble"] or [], top["troubles"], random))
--- a/stepsail/standins/link.py
+++ b/stepsail/standins/link.py
@@ -24,6 +24,7 @@
     stall_up: int = -1  # nothing more goes up after so many bytes, and nobody is told
     stall_down: int = -1
     refuse: bool = False  # connections are reset at once
+    lose: float = 0.0  # part of what is sent after which nothing more passes on its connection, and nobody is told
 
 
 class Link:
@@ -32,6 +33,7 @@
     def __init__(self, loop: Loop, to: Address, plan: Plan | None = None, at: Address = ("127.0.0.1", 0),
                  name: str = "link") -> None:
         self.loop, self.to, self.plan, self.name = loop, to, plan or Plan(), name
+        self.random = Random(f"{name} {to[0]}:{to[1]}")
         self.listener = Listener(loop, at, 4096)
         self.address = self.listener.address
         self.healed: Event | None = None
@@ -84,6 +86,8 @@
                     self.loop.sleep(plan.delay + (len(data) / plan.rate if plan.rate else 0.0))
                     if self.healed:
                         return self.healed.wait()
+                if plan.lose and self.random.random() < plan.lose:
+                    return self.loop.park(self.loop.waiter(), "a lost exchange")  # type: ignore[no-any-return]
                 edge = min((x for x in (reset, stall) if x >= 0), default=-1)
                 if 0 <= edge <= passed + len(data):
                     sink.write(data[:edge - passed])
--- a/stepsail/standins/rehearsal.py
+++ b/stepsail/standins/rehearsal.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 from collections.abc import Callable
+from functools import partial
 from itertools import count
 from pathlib import Path
 
@@ -23,8 +24,9 @@
 READY_WITHIN = 20.0  # s until all umpires must be ready
 SETTLE = 6.0  # s after the last arrival in which everything must be answered
 STOP_WITHIN = 20.0  # s that an umpire may take to leave
+PAUSES = (2.0, 4.0)  # s between an umpire's pauses
 LOOK = 0.05  # s between looks at processes
-UMPIRE_TROUBLES = ("kill-umpire", "stop-umpire")
+UMPIRE_TROUBLES = ("kill-umpire", "stop-umpire", "restart-umpires", "pause-umpires")
 
 
 NUMBERS = count()
@@ -224,22 +226,44 @@
     def _trouble(self, world: World, trouble: Trouble) -> None:
         self.loop.sleep(trouble.at)
         self.transcript.add("day", "trouble", kind=trouble.kind, of=trouble.of, length=trouble.length,
-                            size=trouble.size)
+                            size=trouble.size, part=trouble.part)
         if trouble.kind not in UMPIRE_TROUBLES:
             end = world.begin(trouble)
             self.loop.sleep(trouble.length)
             end()
             return
-        umpire = self.umpires[trouble.of]
         if trouble.kind == "stop-umpire":
-            umpire.send(signal.SIGSTOP, "stopped")
-            self.loop.sleep(trouble.length)
-            umpire.send(signal.SIGCONT, "continued")
+            self._stand_still(self.umpires[trouble.of], trouble.length)
+        elif trouble.kind == "kill-umpire":
+            self._killed(world, self.umpires[trouble.of], trouble.length)
+        else:
+            self._many(world, trouble)
+
+    def _many(self, world: World, trouble: Trouble) -> None:
+        """A part of the umpires, each at times of its own."""
+        random = world.chance(f"{trouble.kind} {trouble.at}")
+        for umpire in random.sample(self.umpires, max(1, round(trouble.part * len(self.umpires)))):
+            if trouble.kind == "restart-umpires":
+                self.loop.after(random.uniform(0.0, trouble.length), partial(
+                    self.loop.spawn, self._killed, world, umpire, random.uniform(0.2, 2.0), name="restart"))
+                continue
+            at = random.uniform(0.0, PAUSES[1])
+            while at < trouble.length:
+                self.loop.after(at, partial(self.loop.spawn, self._stand_still, umpire, trouble.size, name="pause"))
+                at += trouble.size + random.uniform(*PAUSES)
+
+    def _stand_still(self, umpire: Actor, seconds: float) -> None:
+        umpire.send(signal.SIGSTOP, "stopped")
+        self.loop.sleep(seconds)
+        umpire.send(signal.SIGCONT, "continued")
+
+    def _killed(self, world: World, umpire: Actor, seconds: float) -> None:
+        if umpire.ended():
             return
         umpire.kill()
         front = world.fronts[umpire.zone]
         front.dead_at[umpire.number] = self.loop.now()
-        self.loop.sleep(trouble.length)
+        self.loop.sleep(seconds)
         umpire.start()
         while not umpire.ready():
             self.loop.sleep(LOOK)
--- a/stepsail/standins/world.py
+++ b/stepsail/standins/world.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
+from math import pi, sin
 from random import Random
 
 from stepsail.charter import Orders
@@ -49,6 +51,8 @@
                       if name in day.demand]
         self.links: dict[tuple[str, Address], Link] = {}
         self.burst, self.cut_zones = 1.0, set[str]()
+        self.slow_zones: dict[str, tuple[float, float]] = {}  # more delay (s) and the part lost, by zone
+        self.curve: Callable[[], float] = lambda: 1.0
         self.first = Build(1)
         self.builds = {1: self.first}
         self.places = [Place(at, self.zones[at % len(self.zones)]) for at in range(day.places)]
@@ -87,6 +91,8 @@
             self.links[key] = Link(self.loop, to, Plan(delay=self.day.cross_delay), name=f"link {zone} {other}")
             if {zone, other} & self.cut_zones:
                 self.links[key].cut()
+            if self.slow_zones:
+                self._weigh_links()
         return self.links[key].address
 
     def reach(self, umpire: int, box: Box) -> Address:
@@ -196,7 +202,7 @@
                                                if self.umpire_zones[n] == zone], self.day.notice)
                        for zone in self.zones if zone in self.umpire_zones}
         return Crowd(self.loop, self.transcript, wishes, self.day.manners, self.fronts,
-                     lambda: self.day.traffic * self.burst, self.chance("clients"))
+                     lambda: self.day.traffic * self.burst * self.curve(), self.chance("clients"))
 
     # -- troubles ----------------------------------------------------------------------------------------
 
@@ -205,7 +211,84 @@
         return {"kill-box": self._kill_box, "stall-box": self._stall_box, "drain-box": self._drain_box,
                 "cut-zone": self._cut_zone, "stall-conveyor": self._stall, "break-conveyor": self._stall,
                 "stall-roster": self._stall, "late-news": self._late_news, "slow-all": self._slow_all,
-                "burst": self._burst}[trouble.kind](trouble)
+                "burst": self._burst, "kill-boxes": self._kill_boxes, "kill-zone": self._kill_boxes,
+                "pause-boxes": self._pause_boxes, "noisy-boxes": self._noisy_boxes,
+                "heavy-work": self._heavy_work, "slow-zone": self._slow_zone, "retry-storm": self._retry_storm,
+                "curve": self._curve}[trouble.kind](trouble)
+
+    def _some(self, trouble: Trouble) -> list[Place]:
+        """The part of the places that a trouble meets."""
+        return self.chance(f"{trouble.kind} {trouble.at}").sample(
+            self.places, max(1, round(trouble.part * len(self.places))))
+
+    def _kill_boxes(self, trouble: Trouble) -> Callable[[], None]:
+        zone = self.zones[trouble.of % len(self.zones)]
+        places = [p for p in self.places if p.zone == zone] if trouble.kind == "kill-zone" else self._some(trouble)
+        backs = [self._kill_box(replace(trouble, of=place.number)) for place in places]
+
+        def all_back() -> None:
+            for back in backs:
+                back()
+        return all_back
+
+    def _pause_boxes(self, trouble: Trouble) -> Callable[[], None]:
+        random, until = self.chance(f"pauses {trouble.at}"), self.loop.now() + trouble.length
+
+        def pause(place: Place) -> None:
+            if self.loop.now() < until:
+                if place.box:
+                    place.box.stall(trouble.size)
+                self.loop.after(trouble.size + random.uniform(0.8, 3.0), lambda: pause(place))
+        for place in self._some(trouble):
+            self.loop.after(random.uniform(0.0, 1.0), lambda place=place: pause(place))  # type: ignore[misc]
+        return lambda: None
+
+    def _noisy_boxes(self, trouble: Trouble) -> Callable[[], None]:
+        boxes = [p.box for p in self._some(trouble) if p.box]
+        for box in boxes:
+            box.taken = min(0.95, trouble.size)
+
+        def end() -> None:
+            for box in boxes:
+                box.taken = 0.0
+        return end
+
+    def _heavy_work(self, trouble: Trouble) -> Callable[[], None]:
+        self.weather.heavy = (trouble.part, trouble.size)
+
+        def end() -> None:
+            self.weather.heavy = (0.0, 1.0)
+        return end
+
+    def _slow_zone(self, trouble: Trouble) -> Callable[[], None]:
+        zone = self.zones[trouble.of % len(self.zones)]
+        self.slow_zones[zone] = (trouble.size, trouble.part)
+        self._weigh_links()
+
+        def end() -> None:
+            self.slow_zones.pop(zone, None)
+            self._weigh_links()
+        return end
+
+    def _weigh_links(self) -> None:
+        for (ends, _), link in self.links.items():
+            slow = [self.slow_zones[z] for z in ends.split() if z in self.slow_zones]
+            link.plan.delay = self.day.cross_delay + max((s for s, _ in slow), default=0.0)
+            link.plan.lose = max((p for _, p in slow), default=0.0)
+
+    def _retry_storm(self, trouble: Trouble) -> Callable[[], None]:
+        manners, kept = self.day.manners, (self.day.manners.retries, self.day.manners.backoff)
+        manners.retries, manners.backoff = kept[0] + round(trouble.size), 0.001
+
+        def end() -> None:
+            manners.retries, manners.backoff = kept
+        return end
+
+    def _curve(self, trouble: Trouble) -> Callable[[], None]:
+        start = self.loop.now()
+        self.curve = lambda: 1 + (trouble.size - 1) * sin(
+            pi * min(1.0, (self.loop.now() - start) / trouble.length)) ** 2
+        return lambda: None
 
     def _kill_box(self, trouble: Trouble) -> Callable[[], None]:
         place = self.places[trouble.of]
