--- /dev/null
+++ b/tests/experiment/test_experiment.py
@@ -0,0 +1,216 @@
+"""Grids that are killed and gone on with, the same table from any number of processes, comparisons, shrinking."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import polars
+import pytest
+from click.testing import CliRunner
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from scipy import stats
+
+from stepsail.charter import Faults
+from stepsail.cli.main import main as command
+from stepsail.experiment.baselines import MODULES
+from stepsail.experiment.compare import difference, paired
+from stepsail.experiment.grid import grid, run_grid
+from stepsail.experiment.hunt import shrink, smaller, text_of
+from stepsail.experiment.report import page
+from stepsail.experiment.run import Run, execute
+from stepsail.experiment.table import JOURNAL, ROWS, Table, read_rows
+from stepsail.standins.day import Day, read_day
+
+DAYS = Path(__file__).parent.parent.parent / "days"
+TINY = """
+site {site}
+length 2s
+umpires 1
+boxes {{
+    count 3
+}}
+demand lookup share 100% work 20ms
+traffic 20..40
+troubles 1
+trouble kill-box at 0.5s..1s for 0.5s of 0..2
+trouble burst at 0.2s..1s for 1s size 1.5..2 chance 50%
+"""
+COST = ("wall", "cpu", "mib")  # what differs from run to run and says nothing of the day
+
+
+@pytest.fixture
+def tiny(tmp_path: Path) -> Path:
+    file = tmp_path / "tiny.conf"
+    file.write_text(TINY.format(site=DAYS / "bad-day/site.conf"))
+    return file
+
+
+def test_every_day_of_the_library_can_be_read_at_both_sizes() -> None:
+    small, grown = (sorted(f.stem for f in (DAYS / size).glob("*.conf")) for size in ("small", "grown"))
+    assert small == grown and len(small) >= 25
+    for size in ("small", "grown"):
+        for file in (DAYS / size).glob("*.conf"):
+            assert read_day(file, 3).length > 0
+
+
+def test_what_is_a_range_is_drawn_by_the_seed_and_stays_in_it(tiny: Path) -> None:
+    drawn = [read_day(tiny, seed) for seed in range(40)]
+    assert read_day(tiny, 7) == read_day(tiny, 7)
+    assert len({d.traffic for d in drawn}) > 30 and all(20 <= d.traffic <= 40 for d in drawn)
+    assert {len(d.troubles) for d in drawn} == {1} and {d.troubles[0].kind for d in drawn} == {"kill-box", "burst"}
+    assert {t.of for d in drawn for t in d.troubles if t.kind == "kill-box"} == {0, 1, 2}
+
+
+@pytest.mark.parametrize(("line", "said"), [
+    ("trouble kill-box at 3s..1s for 1s", "from the lower to the higher"),
+    ("trouble kill-box at 1..2s for 1s", "a time with its unit"),
+    ("trouble kill-box at 1s for 1s of 0..3", "there are only 3")])
+def test_a_range_that_is_none_is_told_with_its_place(tiny: Path, line: str, said: str) -> None:
+    tiny.write_text(tiny.read_text() + line + "\n")
+    with pytest.raises(Faults, match=said) as found:
+        read_day(tiny)
+    assert f"tiny.conf:{len(tiny.read_text().splitlines())}:" in str(found.value)
+
+
+@settings(max_examples=40, derandomize=True, deadline=None)
+@given(st.sampled_from(sorted(f.name for f in (DAYS / "small").glob("*.conf"))), st.integers(0, 10000))
+def test_a_drawn_day_written_down_reads_back_as_the_same_day(name: str, seed: int) -> None:
+    day = read_day(DAYS / "small" / name, seed)
+    file = DAYS / "small" / f".test-{os.getpid()}.conf"
+    try:
+        file.write_text(text_of(day, day.site.resolve()))
+        again = read_day(file)
+    finally:
+        file.unlink()
+    assert [(t.kind, t.of) for t in again.troubles] == [(t.kind, t.of) for t in day.troubles]
+    for one, other in zip(again.troubles, day.troubles, strict=True):
+        assert (one.at, one.length, one.size, one.part) == pytest.approx(
+            (other.at, other.length, other.size, other.part), abs=1e-6)
+    assert [b.kind for _, b in again.offers] == [b.kind for _, b in day.offers]
+    assert (again.demand, again.seed, again.umpires) == (day.demand, day.seed, day.umpires)
+
+
+def test_a_find_is_cut_down_to_what_shows_it() -> None:
+    day = read_day(DAYS / "small/anything.conf", 5)
+    day.troubles = [t for seed in range(40) for t in read_day(DAYS / "small/anything.conf", seed).troubles][:12]
+    culprit = day.troubles[7]
+    plays = [0]
+
+    def still(candidate: Day) -> bool:
+        plays[0] += 1
+        return any(t.kind == culprit.kind and t.at == culprit.at for t in candidate.troubles)
+    found = shrink(day, still)
+    assert [t.kind for t in found.troubles] == [culprit.kind] and found.offers == [] and found.length < day.length
+    assert plays[0] <= 60
+    assert shrink(day, lambda candidate: False) is day
+    assert all(c != day for c in smaller(day))
+
+
+def test_the_same_table_from_one_process_or_three(tiny: Path, tmp_path: Path) -> None:
+    tables = []
+    for workers in (1, 3):
+        folder = tmp_path / str(workers)
+        run_grid(grid([tiny], [1, 2, 3], ["stepsail", "random"], []), folder, workers, lambda done, of: None)
+        tables.append(read_rows(folder).drop(*COST))
+    assert tables[0].equals(tables[1]) and len(tables[0]) == 6 and set(tables[0]["failed"]) == {""}
+    assert polars.read_parquet(tmp_path / "1" / ROWS).drop(*COST).equals(tables[0])
+
+
+def test_a_grid_killed_in_its_midst_goes_on_without_a_lost_or_doubled_row(tiny: Path, tmp_path: Path) -> None:
+    folder = tmp_path / "rows"
+    arguments = [sys.executable, "-m", "stepsail", "experiment", "run", str(folder), str(tiny), "--seeds", "1..12",
+                 "--workers", "2"]
+    running = subprocess.Popen(arguments, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL,
+                               start_new_session=True)
+    until = time.monotonic() + 60.0
+    while not (folder / JOURNAL).exists() or (folder / JOURNAL).read_bytes().count(b"\n") < 3:
+        assert time.monotonic() < until and running.poll() is None
+        time.sleep(0.01)
+    os.killpg(running.pid, signal.SIGKILL)
+    running.wait()
+    before = len(read_rows(folder))
+    assert 3 <= before < 12
+    with (folder / JOURNAL).open("ab") as out:
+        out.write(b'{"key": "torn by the ki')
+    done = subprocess.run(arguments, capture_output=True, text=True)
+    assert done.returncode == 0, done.stderr
+    assert f"{12 - before} runs now, 12 in all" in done.stdout
+    keys = [line.split('"key":"')[1].split('"')[0] for line in (folder / JOURNAL).read_text().splitlines()]
+    assert len(keys) == len(set(keys)) == 12
+
+
+def test_a_journal_cut_at_any_byte_loses_only_the_row_that_was_cut(tmp_path: Path) -> None:
+    table = Table(tmp_path / "whole")
+    for number in range(3):
+        assert table.add({"key": f"k{number}", "service": 0.5, "failed": ""})
+        assert not table.add({"key": f"k{number}", "service": 0.9, "failed": ""})
+    table.close()
+    data = (tmp_path / "whole" / JOURNAL).read_bytes()
+    for at in range(0, len(data) + 1, 5):
+        folder = tmp_path / f"cut{at}"
+        folder.mkdir()
+        (folder / JOURNAL).write_bytes(data[:at])
+        again = Table(folder)
+        assert len(again.rows) == data[:at].count(b"\n")
+        again.add({"key": "more", "service": 1.0, "failed": ""})
+        again.close()
+        assert len(read_rows(folder)) == data[:at].count(b"\n") + 1
+
+
+def test_a_run_that_cannot_be_played_is_a_row_that_says_why(tmp_path: Path) -> None:
+    row = execute(Run(str(tmp_path / "none.conf"), 1))
+    assert "none.conf" in row["failed"] and row["seed"] == 1
+
+
+def test_differences_are_those_of_a_paired_t_test() -> None:
+    random = Random(1)
+    one = [random.random() for _ in range(30)]
+    other = [v + random.gauss(0.02, 0.05) for v in one]
+    found = difference([b - a for a, b in zip(one, other, strict=True)])
+    test = stats.ttest_rel(other, one).confidence_interval(0.95)
+    assert found.low == pytest.approx(test.low) and found.high == pytest.approx(test.high)
+    needed = difference([0.01 * (-1) ** n for n in range(1000)]).needed
+    assert needed == 8  # (1.96 + 0.84)² of differences that spread by as much as is to be told
+    assert difference([]).pairs == 0 and not difference([0.1]).sure
+
+
+def rows(**of: Any) -> list[dict[str, Any]]:
+    return [{"key": f"{of} {seed}", "day": "d", "seed": seed, "umpires": 3, "module": "stepsail", "commit": "c",
+             "failed": "", "service": 0.9 + seed / 100, "breaches": 0, "right": 1, "releases": 1, "cold_peak": 0.2,
+             "p99": 0.5} | of for seed in range(4)]
+
+
+def test_pairs_have_day_seed_and_size_in_common_and_failed_runs_none() -> None:
+    failed = rows(module="random", service=0.0, failed="x")[:1]
+    frame = polars.from_dicts([*rows(), *rows(module="random", service=0.8)[1:], *failed])
+    found = paired(frame, "module", "random", "stepsail")
+    assert found[""].pairs == 3 and found["d"].mean == pytest.approx(0.12)
+
+
+def test_a_report_opens_without_network() -> None:
+    text = page(polars.from_dicts([*rows(), *rows(module="random", service=0.8)]), "a <title>")
+    assert "a &lt;title&gt;" in text and "data:image/png;base64," in text and "http" not in text
+    assert "stepsail less random" in text
+
+
+@pytest.mark.parametrize("module", sorted(MODULES))
+def test_every_baseline_plays_a_day(tiny: Path, module: str) -> None:
+    row = execute(Run(str(tiny), 1, module))
+    assert row["failed"] == "" and row["handled"] > 20
+
+
+def test_commands_say_what_is_wrong(tiny: Path, tmp_path: Path) -> None:
+    run = CliRunner()
+    for arguments, said in ((["experiment", "run", "x", str(tiny), "--seeds", "a"], "neither a range"),
+                            (["experiment", "run", "x", str(tiny), "--modules", "best"], "no module is called best"),
+                            (["experiment", "show", str(tmp_path / "none")], "holds no experiment")):
+        done = run.invoke(command, arguments)
+        assert done.exit_code == 2 and said in done.output
