A load generator for a running umpire: open loop, times from when each was due

Steps of Poisson arrivals (steady, burst, curve, shift for good) until it no longer keeps up; HDR histograms; the steps are rows of an experiment.

--- a/stepsail/cli/experiments.py
+++ b/stepsail/cli/experiments.py
@@ -1,12 +1,15 @@
-"""Sub-commands on experiments: run, list, show, compare, report; and the hunt."""
+"""Sub-commands on experiments: run, list, show, compare, report; the hunt; and a load on a running umpire."""
 
 from __future__ import annotations
 
 import copy
+import ipaddress
 import os
 import sys
 import tempfile
 from pathlib import Path
+from random import Random
+from urllib.parse import urlsplit
 
 import click
 import polars
@@ -20,8 +23,12 @@
 from stepsail.experiment.compare import paired
 from stepsail.experiment.grid import grid, run_grid
 from stepsail.experiment.hunt import shrink, text_of
+from stepsail.experiment.load import LoadRun, Step, Wanted, knee
 from stepsail.experiment.report import by_day, page
-from stepsail.experiment.table import JOURNAL, read_rows
+from stepsail.experiment.run import commit
+from stepsail.experiment.table import JOURNAL, Table, read_rows
+from stepsail.loop import Loop, PollDriver
+from stepsail.standins.arrivals import burst, curve, shift, steady
 from stepsail.standins.day import Day, read_day
 from stepsail.verify import read_history, verify
 
@@ -181,3 +188,57 @@
         file.write_text(f"# Found by a hunt: {why}, commit {row['commit']}.\n" + text_of(day, site), "utf-8")
         click.echo(f"  {file}: {len(day.troubles)} troubles, {len(day.offers)} offers, {day.length:g} s")
     sys.exit(BAD if len(caught) else 0)
+
+
+@click.command()
+@click.argument("url")
+@click.option("--rates", default="50,100,200,400,800,1600", show_default=True, help="Transactions a second, by step.")
+@click.option("--seconds", default=5.0, show_default=True, help="Of each step.")
+@click.option("--form", type=click.Choice(["steady", "burst", "curve", "shift"]), default="steady", show_default=True)
+@click.option("--times", default=2.5, show_default=True, help="How strong a burst, curve or shift is.")
+@click.option("--method", default="GET", show_default=True)
+@click.option("--body", default="")
+@click.option("--patience", default=3.0, show_default=True, help="Seconds that a client waits.")
+@click.option("--target", default=1.0, show_default=True, help="Seconds within which an answer counts.")
+@click.option("--connections", default=500, show_default=True)
+@click.option("--seed", default=1, show_default=True)
+@click.option("--rows", type=FOLDER, help="Keep the steps as rows of an experiment.")
+def load(url: str, rates: str, seconds: float, form: str, times: float, method: str, body: str, patience: float,
+         target: float, connections: int, seed: int, rows: Path | None) -> None:
+    """Load a running umpire on loopback at URL, an open loop, and find the rate up to which it keeps up."""
+    parts = urlsplit(url)
+    if parts.scheme != "http" or not parts.hostname or not parts.port:
+        raise click.BadParameter("such as http://127.0.0.1:8080/lookup", param_hint="URL")
+    if not ipaddress.ip_address(parts.hostname).is_loopback:
+        raise click.BadParameter("only a loopback address may be loaded", param_hint="URL")
+    wanted = Wanted((parts.hostname, parts.port), method.encode(), (parts.path or "/").encode(), body.encode(),
+                    patience, target)
+    driver = PollDriver()
+    loop = Loop(driver)
+    steps: list[Step] = []
+
+    def run() -> None:
+        one = LoadRun(loop, wanted, connections, Random(f"{seed} load"))
+        for rate in numbers(rates):
+            wave = {"steady": steady(rate), "burst": burst(rate, seconds / 3, seconds / 3, times),
+                    "curve": curve(rate, seconds, times), "shift": shift(rate, seconds / 2, times)}[form]
+            steps.append(one.step(wave, rate * (1.0 if form == "steady" else max(1.0, times)), seconds, rate))
+            s = steps[-1].row()
+            click.echo(f"{rate} a second: {s['in_time'] / max(1, s['due']):.1%} in time, {s['denied']:.0f} denied, "
+                       f"{s['errored'] + s['lost']:.0f} errored or lost, median {s['median'] * 1e3:.1f} ms, "
+                       f"99% {s['p99'] * 1e3:.1f} ms, longest {s['longest'] * 1e3:.1f} ms")
+            if steps[-1].in_time < steps[-1].due / 2:
+                break
+    try:
+        loop.run(run)
+    finally:
+        driver.shutdown()
+    click.echo(f"keeps up to {knee(steps):g} a second")
+    if rows:
+        table = Table(rows)
+        for step in steps:
+            key = f"load {url} {form} {step.rate:g} {seconds:g} {seed} {commit()}"
+            table.add({"key": key, "day": f"load {form}", "seed": seed, "module": "stepsail", "commit": commit(),
+                       "failed": "", "umpires": 1, "breaches": 0, "service": step.in_time / max(1, step.due),
+                       **step.row()})
+        table.close()
--- a/stepsail/cli/main.py
+++ b/stepsail/cli/main.py
@@ -44,7 +44,7 @@
 class Later(click.Group):
     """Loads what experiments need only when it is asked for: an umpire starts without data frames and charts."""
 
-    names = ("experiment", "hunt")
+    names = ("experiment", "hunt", "load")
 
     def list_commands(self, ctx: click.Context) -> list[str]:
         return sorted({*super().list_commands(ctx), *self.names})
--- a/stepsail/standins/world.py
+++ b/stepsail/standins/world.py
@@ -4,13 +4,13 @@
 
 from collections.abc import Callable
 from dataclasses import replace
-from math import pi, sin
 from random import Random
 
 from stepsail.charter import Orders
 from stepsail.interface import Group, Repeat
 from stepsail.loop import Loop
 from stepsail.loop.driver import Address
+from stepsail.standins.arrivals import curve
 from stepsail.standins.box import Box, Seen, Sort, Weather
 from stepsail.standins.builds import Build
 from stepsail.standins.clients import Crowd, Front, Wish
@@ -285,9 +285,8 @@
         return end
 
     def _curve(self, trouble: Trouble) -> Callable[[], None]:
-        start = self.loop.now()
-        self.curve = lambda: 1 + (trouble.size - 1) * sin(
-            pi * min(1.0, (self.loop.now() - start) / trouble.length)) ** 2
+        start, times = self.loop.now(), curve(1.0, trouble.length, trouble.size)
+        self.curve = lambda: times(self.loop.now() - start)
         return lambda: None
 
     def _kill_box(self, trouble: Trouble) -> Callable[[], None]:
