One reading of the clock per turn; the best way between zones worked out once a relay

The scheduler's rounds read the clock once a turn and look at timers only when one is due; the module keeps the best way from the last relay's end.

--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -137,7 +137,8 @@
 
     def way(self) -> float:
         ways = self.umpire.ways
-        return ways[self.zone].mean() / min(w.mean() for w in ways.values()) if self.zone in ways else 1.0
+        best = self.umpire.best_way or min((w.mean() for w in ways.values()), default=1.0)
+        return ways[self.zone].mean() / best if self.zone in ways else 1.0
 
     def weight(self) -> float:
         """Chance to be drawn, by warmth and way; while connects fail, less for one without connection."""
@@ -260,6 +261,7 @@
         if fair and outcome not in (Outcome.ERRORED, Outcome.FULL, Outcome.UNSENT):
             least = 0.0 if outcome is Outcome.HANDLED else FAR
             umpire.ways.setdefault(relay.zone, Pace()).add(max(least, took / self.usual.mean()))
+            umpire.best_way = min(w.mean() for w in umpire.ways.values())  # asked for with every server drawn from
         relay.server.relay_ended(outcome, took / self.usual.mean(), fair and relay.old_enough)
         spoke = outcome in (Outcome.HANDLED, Outcome.ERRORED) or (  # a server lost or cut off blames no build
             outcome is Outcome.LATE and relay.server.heard_at > relay.at)
@@ -399,6 +401,8 @@
 
 
 class Umpire:
+    best_way = 0.0  # not known: so in a captured state from before it was kept
+
     def __init__(self, charter: Charter, host: Host, seed: int) -> None:
         self.charter, self.host, self.seed, self.draws, self.round = charter, host, seed, 0, 0
         self.servers, self.ready = list[Server](), list[Server]()
--- a/stepsail/loop/hub.py
+++ b/stepsail/loop/hub.py
@@ -187,34 +187,35 @@
         return first.result
 
     def _rounds(self, over: Callable[[], bool]) -> None:
+        turns, timers, now = self.turns, self.timers, self.now
         while not over():
             self.rounds += 1
-            for _ in range(len(self.turns)):
-                task, value, error = self.turns.popleft()
-                self._turn(task, value, error)
-            for call in self.timers.due(self.now()):
-                self._call(call)
+            # One reading of the clock ends one turn and begins the next.
+            clock = now()
+            for _ in range(len(turns)):
+                task, value, error = turns.popleft()
+                running = task.greenlet
+                if running is None:
+                    continue
+                task.spent, self.running = 0, task
+                if error is not None:
+                    running.throw(error)
+                else:
+                    running.switch(value)
+                before, clock = clock, now()
+                if clock - before > SLOW:
+                    self._timed(task.name, clock - before)
+            self.running = None
+            if timers.heap and timers.heap[0][0] <= clock:
+                for call in timers.due(clock):
+                    self._call(call)
             if over():
                 return
-            due = self.timers.next_at()
-            if self.turns:
-                wait: float | None = 0.0
-            else:
-                wait = None if due is None else max(0.0, due - self.now())
-            self.driver.poll(wait)
-
-    def _turn(self, task: Task, value: Any, error: BaseException | None) -> None:
-        if task.greenlet is None:
-            return
-        task.spent, self.running, start = 0, task, self.now()
-        if error is not None:
-            task.greenlet.throw(error)
-        else:
-            task.greenlet.switch(value)
-        self.running = None
-        took = self.now() - start
-        if took > SLOW:
-            self._timed(task.name, took)
+            if turns:
+                self.driver.poll(0.0)
+                continue
+            due = timers.next_at()
+            self.driver.poll(None if due is None else max(0.0, due - now()))
 
     def _call(self, call: Callable[[], object]) -> None:
         start = self.now()
