--- a/stepsail/emulate/actors.py
+++ b/stepsail/emulate/actors.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import signal
 from pathlib import Path
 from typing import Any
@@ -10,7 +11,6 @@
 
 from stepsail.balance import Umpire
 from stepsail.charter import Faults, read_orders
-from stepsail.cli.logs import LEVELS
 from stepsail.emulate.clockwork import Clockwork, Machine
 from stepsail.emulate.driver import EmulatedDriver
 from stepsail.emulate.network import Network
@@ -20,6 +20,7 @@
 from stepsail.standins.transcript import Transcript
 from stepsail.umpire.life import Daemon
 
+LEVELS = {name.lower(): number for name, number in logging.getLevelNamesMapping().items()}
 FAILED = 1  # exit code of a daemon that ended by an error
 
 
