The checker knows slow ways, and umpires killed right after they were told something

A telling within 0.15 s of a kill counted as unheard, though the umpire may have acted on it; and over a way that is 0.4 s slow and loses some, what was said counted as heard at once, and what arrived as sent at once. Now a telling over such a way counts once the umpire asked for what follows it, and a relay counts from when it was sent, no earlier than its client asked.

--- a/stepsail/standins/conveyor.py
+++ b/stepsail/standins/conveyor.py
@@ -178,16 +178,17 @@
         answer: dict[str, Any] = {"seq": len(self.news)}
         state = next((n["state"] for n in reversed(new) if "state" in n), None)
         if state:
-            answer["state"] = self._dated(state, umpire)
+            answer["state"] = self._dated(state, umpire, after)
         counts = [c for n in new for c in n.get("counts", [])]
         if counts:
             answer["counts"] = [{k: v for k, v in c.items() if k != "ended"}
                                 | {"age": round(self.loop.now() - c["ended"], 3)} for c in counts]
         return answer
 
-    def _dated(self, state: dict[str, Any], umpire: int) -> dict[str, Any]:
+    def _dated(self, state: dict[str, Any], umpire: int, after: int = -1) -> dict[str, Any]:
+        """A state as it is told; written down with what the umpire knew when it asked, and what it will know."""
         told = {k: v for k, v in state.items() if k != "since"}
-        self.transcript.add("conveyor", "told", umpire=umpire, **told)
+        self.transcript.add("conveyor", "told", umpire=umpire, after=after, seq=len(self.news), **told)
         return told | {"age": round(max(0.0, self.loop.now() - state["since"]), 3)}
 
     def _vote(self, body: dict[str, Any]) -> Any:
--- a/stepsail/standins/roster.py
+++ b/stepsail/standins/roster.py
@@ -52,7 +52,7 @@
         whole = after == 0 or after > self.version
         lines = sorted((x for x in self.lines.values() if (x.state != "gone" if whole else x.version > after)),
                        key=lambda x: x.version)  # of two starts at one address the later one stands
-        self.transcript.add("roster", "told", umpire=umpire, whole=whole, servers={
+        self.transcript.add("roster", "told", umpire=umpire, whole=whole, after=after, seq=self.version, servers={
             x.box.name: [x.state, x.box.build.number] for x in lines})
         return {"seq": self.version, "whole": whole, "servers": [self._line(umpire, x) for x in lines]}
 
--- a/stepsail/standins/world.py
+++ b/stepsail/standins/world.py
@@ -263,10 +263,12 @@
     def _slow_zone(self, trouble: Trouble) -> Callable[[], None]:
         zone = self.zones[trouble.of % len(self.zones)]
         self.slow_zones[zone] = (trouble.size, trouble.part)
+        self.transcript.add("link", "slow", zone=zone, delay=trouble.size, lost=trouble.part)
         self._weigh_links()
 
         def end() -> None:
             self.slow_zones.pop(zone, None)
+            self.transcript.add("link", "usual", zone=zone)
             self._weigh_links()
         return end
 
--- a/tests/verify/test_checker.py
+++ b/tests/verify/test_checker.py
@@ -212,3 +212,53 @@
 def test_a_transcript_that_cannot_be_judged_is_named(lines: list[Line], said: str) -> None:
     with pytest.raises(BadTranscript, match=said):
         History(lines)
+
+
+def slow(lines: list[Line], confirmed: bool) -> set[tuple[int, str]]:
+    """Umpire 1 in zone b hears from zone a over a way 0.4 s longer that loses some; box b3 drains at 6.0."""
+    lines = copy.deepcopy(lines)
+    lines.append({"t": 5.5, "at": "link", "what": "slow", "zone": "b", "delay": 0.4, "lost": 0.1})
+    told = {"t": 6.0, "at": "roster", "what": "told", "umpire": 1, "whole": False, "after": 3, "seq": 4,
+            "servers": {"b3": ["draining", 1]}}
+    lines.append(told)
+    if confirmed:
+        lines.append(told | {"t": 6.9, "after": 4, "seq": 5, "servers": {}})
+    return {(b.rule, b.clause) for b in verify(History(in_order(lines)))}
+
+
+@pytest.mark.parametrize(("sent", "confirmed", "found"), [
+    (7.0, True, False),  # told at 6.0, heard by 6.9 at the latest: within the grace
+    (8.0, True, True), (8.0, False, False)])  # long after it asked for what comes next; never heard of
+def test_what_a_slow_way_may_have_lost_counts_once_the_umpire_has_asked_for_what_follows(
+        sent: float, confirmed: bool, found: bool) -> None:
+    lines = [*clean(), *transaction("900-0", sent, box="b3", zone="b", umpire=1)]
+    assert ((3, "sent to a draining box") in slow(lines, confirmed)) is found
+
+
+def test_what_came_over_a_slow_way_was_sent_earlier_and_not_before_its_client_asked() -> None:
+    """Told to drain at 6.0 and heard at once (no slow way to it); a relay to the far zone arrives 0.4 s late."""
+    def played(sent: float) -> set[tuple[int, str]]:
+        lines = [*clean(), *transaction("900-0", sent, box="b3", zone="b", umpire=0)]
+        find(lines, at="box", what="relay", id="900-0")["t"] = sent + 0.41
+        find(lines, at="box", what="ran", id="900-0")["t"] = sent + 0.45
+        find(lines, at="client", what="answer", id="900-0")["t"] = sent + 0.9
+        lines.append({"t": 5.5, "at": "link", "what": "slow", "zone": "b", "delay": 0.4, "lost": 0.0})
+        lines.append({"t": 6.0, "at": "roster", "what": "told", "umpire": 0, "whole": False,
+                      "servers": {"b3": ["draining", 1]}})
+        return {(b.rule, b.clause) for b in verify(History(in_order(lines)))}
+    assert played(6.45) == set() and played(6.8) == {(3, "sent to a draining box")}
+
+
+def test_an_umpire_killed_right_after_it_was_told_may_have_acted_on_it() -> None:
+    """A labelled relay at a build whose second stage was told 0.1 s before, and 0.05 s later the umpire is killed:
+    found by a hunt, where the checker took the telling for unheard."""
+    def played(told: bool) -> set[tuple[int, str]]:
+        lines = clean()
+        if told:
+            lines.append({"t": 8.0, "at": "conveyor", "what": "told", "umpire": 0, "build": 2, "stage": 1,
+                          "phase": "trial", "cap": 1.0})
+        lines += transaction("900-0", 8.08, "mark", "n1", "a", 2)[:2]
+        lines.append({"t": 8.14, "at": "umpire", "what": "killed", "umpire": 0})
+        lines = [x for x in lines if not (x["at"] == "client" and x["t"] > 8.1)]
+        return {(b.rule, b.clause) for b in verify(History(in_order(lines)))}
+    assert played(True) == set() and (5, "guarded stage") in played(False)
