--- a/stepsail/experiment/hunt.py
+++ b/stepsail/experiment/hunt.py
@@ -27,7 +27,7 @@
               for name, (share, work) in day.demand.items()]
     lines += [f"traffic {number(day.traffic)}", f"roster-late {number(day.roster_late)}s",
               f"news-late {number(day.news_late)}s", f"cross-delay {number(day.cross_delay)}s",
-              f"notice {number(day.notice)}s", f"retries {day.manners.retries}"]
+              f"notice {number(day.notice)}s", f"uneven {number(day.uneven)}", f"retries {day.manners.retries}"]
     for at, build in day.offers:
         product = f" product {build.product}" if build.product else ""
         lines.append(f"offer at {number(at)}s {build.kind} size {number(build.size)}{product} "
--- a/stepsail/standins/clients.py
+++ b/stepsail/standins/clients.py
@@ -52,15 +52,22 @@
 
 
 class Front:
-    """Where the clients of a zone connect: its umpires in turn, a dead one left out once that is noticed."""
+    """Where the clients of a zone connect: its umpires in turn, or some more often than others; a dead one is left
+    out once that is noticed."""
 
-    def __init__(self, loop: Loop, umpires: list[tuple[int, Address]], notice: float) -> None:
-        self.loop, self.umpires, self.notice = loop, umpires, notice
-        self.turn, self.dead_at = 0, dict[int, float]()
+    def __init__(self, loop: Loop, umpires: list[tuple[int, Address]], notice: float, uneven: float = 1.0,
+                 random: Random | None = None) -> None:
+        self.loop, self.umpires, self.notice, self.uneven = loop, umpires, notice, uneven
+        self.turn, self.dead_at, self.random = 0, dict[int, float](), random or Random(0)
+        # The first gets `uneven` times what the last gets, and those between fall off evenly.
+        last = max(1, len(umpires) - 1)
+        self.weights = {u: uneven ** (1 - at / last) for at, (u, _) in enumerate(umpires)}
 
     def choose(self) -> tuple[int, Address]:
         now = self.loop.now()
         known = [u for u in self.umpires if now < self.dead_at.get(u[0], now + 1) + self.notice]
+        if self.uneven > 1.0:
+            return self.random.choices(known or self.umpires, [self.weights[u] for u, _ in known or self.umpires])[0]
         self.turn += 1
         return (known or self.umpires)[self.turn % len(known or self.umpires)]
 
--- a/stepsail/standins/day.py
+++ b/stepsail/standins/day.py
@@ -63,6 +63,8 @@
     Word("cross-delay", "Time one way between zones.", (arg("time", "time", **TIME),), absent=0.001),
     Word("notice", "Time that the front goes on sending to a dead umpire.", (arg("time", "time", **TIME),),
          absent=1.5),
+    Word("uneven", "So many times more goes to a zone's first umpire than to its last.",
+         (arg("times", "number", minimum=1, maximum=1000),), absent=1.0),
     Word("retries", "Tries beyond the first.", (arg("count", "whole", maximum=10),), absent=2),
     Word("offer", "A build is offered: what it does, how much, to which product, its speed.", (
         arg("time", "times", keyword="at", **TIME), arg("kind", "text", enum=list(KINDS)),
@@ -110,6 +112,7 @@
     cross_delay: float
     notice: float
     manners: Manners
+    uneven: float = 1.0
     offers: list[tuple[float, Build]] = field(default_factory=list)
     troubles: list[Trouble] = field(default_factory=list)
 
@@ -173,5 +176,5 @@
         seed, top["umpires"], boxes["count"],
         Shape(boxes["cores"], boxes["queue"], fall_for=boxes["fall-for"], report_every=boxes["report-every"]),
         boxes["boot"], boxes["drain-for"], demand, _drawn(random, top["traffic"], 0.0), top["roster-late"],
-        top["news-late"], top["cross-delay"], top["notice"], Manners(retries=top["retries"]),
+        top["news-late"], top["cross-delay"], top["notice"], Manners(retries=top["retries"]), top["uneven"],
         _offers(top["offer"] or [], random), _troubles(top["trouble"] or [], top["troubles"], random))
--- a/stepsail/standins/world.py
+++ b/stepsail/standins/world.py
@@ -199,7 +199,8 @@
                 wishes.append(Wish(name, route.method, route.path, self.day.demand[name][0], product.abandon,
                                    product.repeat is Repeat.LABELLED and product.group in Group))
         self.fronts = {zone: Front(self.loop, [(n, a) for n, a in enumerate(umpires)
-                                               if self.umpire_zones[n] == zone], self.day.notice)
+                                               if self.umpire_zones[n] == zone], self.day.notice,
+                                   self.day.uneven, self.chance(f"front {zone}"))
                        for zone in self.zones if zone in self.umpire_zones}
         return Crowd(self.loop, self.transcript, wishes, self.day.manners, self.fronts,
                      lambda: self.day.traffic * self.burst * self.curve(), self.chance("clients"))
