--- a/stepsail/capture/seam.py
+++ b/stepsail/capture/seam.py
@@ -25,6 +25,9 @@
     Verdict,
 )
 
+TAKE, ENDED = int(Told.TAKE), int(Told.ENDED)
+ANSWERED = (int(Asked.DENY), int(Asked.ERROR))
+
 
 class Sink(Protocol):
     """Where entries go. It must not wait: an umpire is deciding."""
@@ -91,9 +94,20 @@
         return self.real.finished
 
     def relay_ended(self, relay: int, outcome: Outcome, final: bool, took: float, report: Sequence[float]) -> None:
-        self.recorder.told(Told.ENDED, (self.number, relay, int(outcome), final, took, tuple(report)),
-                           self.real.relay_ended, relay, outcome, final, took, report)
-        self.recorder.forget(self)
+        # As `told` does it, without its calls: this and `take` are made for every transaction.
+        recorder, values = self.recorder, (self.number, relay, int(outcome), final, took, tuple(report))
+        sink = recorder.sink
+        if sink.wants_state:
+            sink.state(recorder.frozen)
+        recorder.clock = clock = recorder.host.clock
+        recorder.asked = asked = list[tuple[Any, ...]]()
+        try:
+            self.real.relay_ended(relay, outcome, final, took, report)
+        except Exception as trouble:
+            sink.entry((ENDED, clock, values, asked, f"{type(trouble).__name__}: {trouble}"))
+            raise
+        sink.entry((ENDED, clock, values, asked, ""))
+        recorder.forget(self)
 
     def client_left(self) -> None:
         self.recorder.told(Told.LEFT, (self.number,), self.real.client_left)
@@ -123,7 +137,7 @@
         """Make one call to the module and write it down with what it led to."""
         sink = self.sink
         if sink.wants_state and kind != Told.BEGIN:
-            sink.state(self._frozen)
+            sink.state(self.frozen)
         self.clock = clock = self.host.clock
         self.asked = asked = list[tuple[Any, ...]]()
         try:
@@ -134,12 +148,14 @@
         sink.entry((kind, clock, values, asked, ""))
         return result
 
-    def _frozen(self) -> bytes:
+    def frozen(self) -> bytes:
+        """A snapshot of the module and of what the host holds of it."""
         root = [self.real, [s.real for s in self.servers], {n: t.real for n, t in self.transactions.items()},
                 dict(self.timers), self.timers_set, self.clock]
         return freeze(root, names_of(self.charter, self))
 
     def forget(self, transaction: RecordedTransaction) -> None:
+        """Once nothing is to be said of it any more."""
         if transaction.real.finished:
             self.transactions.pop(transaction.number, None)
 
@@ -160,10 +176,19 @@
 
     def take(self, number: int, product: int, tenant: int, effort: float | None, until: float, key: int,
              again: bool) -> RecordedTransaction:
-        values = (number, product, tenant, effort, until, key, again)
-        real = self.told(Told.TAKE, values, self.real.take, *values)
+        values, sink = (number, product, tenant, effort, until, key, again), self.sink
+        if sink.wants_state:
+            sink.state(self.frozen)
+        self.clock = clock = self.host.clock
+        self.asked = asked = list[tuple[Any, ...]]()
+        try:
+            real = self.real.take(number, product, tenant, effort, until, key, again)
+        except Exception as trouble:
+            sink.entry((TAKE, clock, values, asked, f"{type(trouble).__name__}: {trouble}"))
+            raise
+        sink.entry((TAKE, clock, values, asked, ""))
         transaction = self.transactions.get(number) or self._transaction(real)
-        if real.finished:
+        if asked and asked[-1][0] in ANSWERED and real.finished:  # else a relay is out, or it waits
             del self.transactions[number]
         return transaction
 
