--- a/stepsail/capture/folder.py
+++ b/stepsail/capture/folder.py
@@ -5,6 +5,7 @@
 import os
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
+from itertools import zip_longest
 from pathlib import Path
 from types import ModuleType
 from typing import Any
@@ -66,9 +67,11 @@
     return list(runs.values()), damaged
 
 
-def entries_of(stretch: list[Segment]) -> Iterator[tuple[int, Entry]]:
-    for segment in stretch:
-        yield from segment.entries()
+def entries_of(stretch: list[Segment], since: float | None = None) -> Iterator[tuple[int, Entry]]:
+    """All entries, or from the block on in which a clock reading lies: what is before is not unpacked."""
+    for segment, follower in zip_longest(stretch, stretch[1:]):
+        if since is None or follower is None or follower.meta["clock"] >= since:
+            yield from segment.entries(since)
 
 
 def replay_stretch(stretch: list[Segment], module: ModuleType, **how: Any) -> Replayed:
--- a/stepsail/cli/captures.py
+++ b/stepsail/cli/captures.py
@@ -93,7 +93,7 @@
         for stretch in run.stretches():
             servers = servers_of(stretch)
             click.echo(f"run {run.name}, umpire {run.umpire}")
-            for number, entry in entries_of(stretch):
+            for number, entry in entries_of(stretch, start):
                 text = shown(entry, servers)
                 if (start is not None and entry.clock < start) or (until is not None and entry.clock > until) or (
                         kind and text[0].split()[1] not in kind):
--- a/tests/capture/test_format.py
+++ b/tests/capture/test_format.py
@@ -21,7 +21,7 @@
 from stepsail.capture import CaptureWriter, Damaged, read_segment, replay
 from stepsail.capture.blocks import TITLE, Kind, block
 from stepsail.capture.entries import ENCODER, Entry, Told
-from stepsail.capture.folder import cut, read_runs, replay_stretch, write_segment
+from stepsail.capture.folder import cut, entries_of, read_runs, replay_stretch, write_segment
 from stepsail.capture.replay import CannotReplay
 from stepsail.interface import Outcome, Phase, Verdict
 from stepsail.store.frames import LENGTH
@@ -303,3 +303,24 @@
     assert [t.value for t in Told] == list(range(1, 17))
     assert struct.calcsize("<4sB3xIQdQ") == 36
     assert write_segment.__doc__ and Entry._fields == ("kind", "clock", "values", "asked", "raised")
+
+
+def test_entries_from_a_time_on_are_found_without_unpacking_what_is_before(tmp_path: Path,
+                                                                          monkeypatch: pytest.MonkeyPatch) -> None:
+    recorded(tmp_path, rounds=400, segment=1000)
+    (stretch,) = read_runs(tmp_path)[0][0].stretches()
+    assert len(stretch) > 3
+    whole = list(entries_of(stretch))
+    since = whole[len(whole) * 3 // 4][1].clock
+    unpacked: list[int] = []
+    real = type(stretch[0]).payload
+
+    def counted(self: Any, found: Any) -> bytes:
+        unpacked.append(1)
+        return real(self, found)
+    monkeypatch.setattr(type(stretch[0]), "payload", counted)
+    later = [(n, e) for n, e in entries_of(stretch, since) if e.clock >= since]
+    assert later == [(n, e) for n, e in whole if e.clock >= since]
+    few = len(unpacked)
+    list(entries_of(stretch))
+    assert few < (len(unpacked) - few) / 2
