--- a/stepsail/cli/experiments.py
+++ b/stepsail/cli/experiments.py
@@ -108,10 +108,11 @@
     if as_csv:
         click.echo(rows.write_csv(), nl=False)
         return
-    table = Shown("day", "module", "umpires", "runs", "service", "worst", "breaches", "right", "cold peak", "99% s")
+    table = Shown("day", "module", "umpires", "runs", "service", "ideal", "worst", "breaches", "right", "cold peak",
+                  "99% s")
     for r in by_day(rows).iter_rows(named=True):
         table.add_row(r["day"], r["module"], str(r["umpires"]), str(r["runs"]), f"{r['service']:.3f}",
-                      f"{r['worst']:.3f}", str(r["breaches"]), f"{r['right']}/{r['releases']}",
+                      f"{r['ideal']:.3f}", f"{r['worst']:.3f}", str(r["breaches"]), f"{r['right']}/{r['releases']}",
                       f"{r['cold_peak']:.2f}", f"{r['p99']:.2f}")
     Console().print(table)
 
@@ -239,6 +240,6 @@
         for step in steps:
             key = f"load {url} {form} {step.rate:g} {seconds:g} {seed} {commit()}"
             table.add({"key": key, "day": f"load {form}", "seed": seed, "module": "stepsail", "commit": commit(),
-                       "failed": "", "umpires": 1, "breaches": 0, "service": step.in_time / max(1, step.due),
-                       **step.row()})
+                       "failed": "", "umpires": 1, "breaches": 0, "ideal": 1.0,
+                       "service": step.in_time / max(1, step.due), **step.row()})
         table.close()
--- a/stepsail/experiment/report.py
+++ b/stepsail/experiment/report.py
@@ -32,7 +32,8 @@
     """Each day and module: runs, mean and worst service, breaches, releases that ended right; worst days first."""
     return rows.filter(polars.col("failed") == "").group_by("day", "module", "umpires").agg(
         polars.len().alias("runs"), polars.col("service").mean().alias("service"),
-        polars.col("service").min().alias("worst"), polars.col("service").std().alias("sd"),
+        polars.col("ideal").mean(), polars.col("service").min().alias("worst"),
+        polars.col("service").std().alias("sd"),
         polars.col("breaches").sum(), polars.col("right").sum(), polars.col("releases").sum(),
         polars.col("cold_peak").max(), polars.col("p99").median()).sort("service", "day", "module")
 
@@ -47,10 +48,12 @@
                  f"breaches of rules; commits {', '.join(sorted(set(rows['commit'].to_list())))}.</p>")
     days = by_day(rows)
     modules = sorted(set(days["module"].to_list()))
-    head = ["day", "module", "umpires", "runs", "service", "worst", "breaches", "right", "cold peak", "99% s"]
+    head = ["day", "module", "umpires", "runs", "service", "ideal", "worst", "breaches", "right", "cold peak",
+            "99% s"]
     parts.append(_table(head, [
-        [r["day"], r["module"], str(r["umpires"]), str(r["runs"]), f"{r['service']:.3f}", f"{r['worst']:.3f}",
-         str(r["breaches"]), f"{r['right']} of {r['releases']}", f"{r['cold_peak']:.2f}", f"{r['p99']:.2f}"]
+        [r["day"], r["module"], str(r["umpires"]), str(r["runs"]), f"{r['service']:.3f}",
+         f"{r['ideal']:.3f}", f"{r['worst']:.3f}", str(r["breaches"]), f"{r['right']} of {r['releases']}",
+         f"{r['cold_peak']:.2f}", f"{r['p99']:.2f}"]
         for r in days.iter_rows(named=True)]))
     figure = Figure(figsize=(9, 0.28 * max(6, days["day"].n_unique()) + 1))
     axes = figure.subplots()
--- a/stepsail/experiment/run.py
+++ b/stepsail/experiment/run.py
@@ -14,6 +14,7 @@
 
 from stepsail.emulate.play import play
 from stepsail.experiment.baselines import MODULES
+from stepsail.experiment.ideal import bound
 from stepsail.standins.day import Day, read_day
 from stepsail.verify import read_history, verify
 from stepsail.verify.report import summary
@@ -102,7 +103,7 @@
     breaches = verify(history)
     found = summary(history, breaches)
     answers, releases = found["answers"], found["releases"]
-    return {"service": float(found["service"]), "breaches": len(breaches),
+    return {"service": float(found["service"]), "ideal": bound(history), "breaches": len(breaches),
             "breach": "; ".join(str(b).splitlines()[0][:200] for b in breaches[:MOST_BREACHES]),
             "asked": sum(p["asked"] for p in found["products"].values()),
             "median": max(p["median"] for p in found["products"].values()),
--- a/tests/experiment/test_experiment.py
+++ b/tests/experiment/test_experiment.py
@@ -184,8 +184,8 @@
 
 def rows(**of: Any) -> list[dict[str, Any]]:
     return [{"key": f"{of} {seed}", "day": "d", "seed": seed, "umpires": 3, "module": "stepsail", "commit": "c",
-             "failed": "", "service": 0.9 + seed / 100, "breaches": 0, "right": 1, "releases": 1, "cold_peak": 0.2,
-             "p99": 0.5} | of for seed in range(4)]
+             "failed": "", "service": 0.9 + seed / 100, "ideal": 1.0, "breaches": 0, "right": 1, "releases": 1,
+             "cold_peak": 0.2, "p99": 0.5} | of for seed in range(4)]
 
 
 def test_pairs_have_day_seed_and_size_in_common_and_failed_runs_none() -> None:
--- /dev/null
+++ b/tests/experiment/test_ideal.py
@@ -0,0 +1,55 @@
+"""The bound that nobody could do better than: nothing where all fits, the cheapest work where it does not."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from stepsail.experiment.ideal import bound, capacity, least_loss
+from stepsail.verify import History
+
+FACTS: dict[str, Any] = {
+    "t": 0.0, "at": "day", "what": "facts", "name": "made", "seed": 1, "second_copies": False, "drain_grace": 0.5,
+    "cold_from": 0.2, "cold_for": 4.0, "falls_at": 3.0, "fall_for": 1.5, "cores": 2, "window": 4.0, "free": 1.0,
+    "caps": [1.0], "guarded": 0, "by_product": False, "umpire_zones": ["a"], "work": 0.1,
+    "products": {name: {"repeats": "redoable", "group": "all", "window": 0.0, "target": 1.0, "revenue": revenue,
+                        "late_share": 0.0} for name, revenue in (("look", 1.0), ("pay", 4.0))}}
+
+
+def day(count: int, work: float, more: list[dict[str, Any]] | None = None, cold: bool = False) -> History:
+    """So many transactions at once at 2.0 s, every second one worth four times as much; one box of two cores."""
+    lines = [FACTS, {"t": 0.0, "at": "box", "what": "start", "box": "b", "zone": "a", "build": 1, "cold": cold}]
+    for number in range(count):
+        product = ("look", "pay")[number % 2]
+        told = {"id": f"{number}-0", "umpire": 0, "product": product}
+        lines.append({"t": 2.0, "at": "client", "what": "send", **told, "visit": number, "until": 5.0})
+        lines.append({"t": 2.0, "at": "box", "what": "relay", **told, "box": "b", "zone": "a", "build": 1,
+                      "work": work})
+    return History(sorted([*lines, *(more or [])], key=lambda line: float(line["t"])))
+
+
+def test_all_that_fits_can_be_had() -> None:
+    assert bound(day(20, 0.1)) == pytest.approx(1.0)  # 2 s of work, 2 cores, 1 s
+    assert bound(day(0, 0.1)) == 1.0
+
+
+def test_where_it_does_not_fit_the_cheapest_goes() -> None:
+    """4 s of work where 2 s can be done: all ten `look`s go, worth 10 of 50."""
+    assert bound(day(20, 0.2)) == pytest.approx(0.8)
+    assert bound(day(20, 0.4)) == pytest.approx(1 - (10 + 5 * 4) / 50)
+
+
+def test_what_takes_capacity_lowers_it() -> None:
+    slow = {"t": 1.9, "at": "day", "what": "trouble", "kind": "slow-all", "of": 0, "length": 3.0, "size": 2.0}
+    still = {"t": 2.0, "at": "box", "what": "stalled", "box": "b", "seconds": 0.5}
+    dead = {"t": 2.5, "at": "box", "what": "end", "box": "b"}
+    for trouble in (slow, still, dead):  # each takes half of the second
+        assert bound(day(20, 0.1, [trouble])) == pytest.approx(0.8)
+    assert capacity(day(20, 0.1, cold=True), 4.0)[-1] < 2 * 4.0 * 0.7
+
+
+def test_a_part_of_a_job_may_go() -> None:
+    assert least_loss([(1.0, 1.0), (1.0, 3.0)], 1.5) == pytest.approx(0.5)
+    assert least_loss([(1.0, 1.0), (1.0, 3.0)], 0.5) == pytest.approx(2.5)
+    assert least_loss([(0.0, 5.0)], 0.0) == 0.0
