--- a/tests/emulate/test_days.py
+++ b/tests/emulate/test_days.py
@@ -57,3 +57,18 @@
         "site site.conf" if line.startswith("site ") else line for line in text.splitlines()) + "\n")
     with pytest.raises(RuntimeError, match="not ready"):
         play(read_day(tmp_path / "day.conf"), tmp_path / "out")
+
+
+def test_five_hundred_and_forty_umpires_fit_a_stated_memory(tmp_path: Path) -> None:
+    """In a process of its own: 600 MiB, of which the program itself takes some 90; and no rule is broken."""
+    code = (
+        "import resource; from pathlib import Path; from stepsail.emulate.play import play; "
+        "from stepsail.standins.day import read_day; from stepsail.verify import read_history, verify; "
+        f"day = read_day(Path({str(DAYS / 'grown/quiet.conf')!r})); day.umpires = 540; day.places = 12; "
+        f"day.traffic, day.length, out = 60.0, 1.0, Path({str(tmp_path)!r}); came = play(day, out); "
+        "print(resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024, len(came.codes), "
+        "sum(map(bool, came.codes)), "
+        "len(verify(read_history(out / 'transcript.jsonl'))))")
+    done = subprocess.run([sys.executable, "-c", code], check=True, capture_output=True, text=True)
+    mib, umpires, badly, breaches = map(int, done.stdout.split())
+    assert (umpires, badly, breaches) == (540, 0, 0) and mib < 600
