--- a/stepsail/cli/main.py
+++ b/stepsail/cli/main.py
@@ -41,17 +41,35 @@
 FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
 
 
+HELP = {"experiment": "Grids of emulated days, kept as tables and compared.",
+        "hunt": "Draw days until one breaks a rule or loses, and cut it down.",
+        "load": "Load a running umpire on loopback and find the rate that it keeps up with."}
+
+
 class Later(click.Group):
     """Loads what experiments need only when it is asked for: an umpire starts without data frames and charts."""
 
-    names = ("experiment", "hunt", "load")
+    names = tuple(HELP)
 
     def list_commands(self, ctx: click.Context) -> list[str]:
         return sorted({*super().list_commands(ctx), *self.names})
 
+    def format_commands(self, ctx: click.Context, formatter: click.HelpFormatter) -> None:
+        """The list of commands, also where those of experiments cannot be loaded."""
+        with formatter.section("Commands"):
+            formatter.write_dl([(name, HELP.get(name) or self._said(ctx, name)) for name in self.list_commands(ctx)])
+
+    def _said(self, ctx: click.Context, name: str) -> str:
+        found = self.get_command(ctx, name)
+        return found.get_short_help_str(80) if found else ""
+
     def get_command(self, ctx: click.Context, name: str) -> click.Command | None:
         if name in self.names:
-            found: click.Command = getattr(import_module("stepsail.cli.experiments"), name)
+            try:
+                found: click.Command = getattr(import_module("stepsail.cli.experiments"), name)
+            except ModuleNotFoundError as missing:
+                raise click.ClickException(f"'{name}' needs {missing.name}, which umpires do without; "
+                                           "pip install -r requirements-experiment.txt") from None
             return found
         return super().get_command(ctx, name)
 
--- a/tests/experiment/test_experiment.py
+++ b/tests/experiment/test_experiment.py
@@ -214,3 +214,13 @@
                             (["experiment", "show", str(tmp_path / "none")], "holds no experiment")):
         done = run.invoke(command, arguments)
         assert done.exit_code == 2 and said in done.output
+
+
+def test_without_what_experiments_need_the_rest_works_and_the_remedy_is_told(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setitem(sys.modules, "polars", None)
+    for name in [m for m in sys.modules if m.startswith(("stepsail.experiment", "stepsail.cli.experiments"))]:
+        monkeypatch.delitem(sys.modules, name)
+    run = CliRunner()
+    assert run.invoke(command, ["--help"]).exit_code == 0
+    done = run.invoke(command, ["experiment", "list"])
+    assert done.exit_code == 1 and "requirements-experiment.txt" in done.output
