--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -261,7 +261,7 @@
         if fair and outcome not in (Outcome.ERRORED, Outcome.FULL, Outcome.UNSENT):
             least = 0.0 if outcome is Outcome.HANDLED else FAR
             umpire.ways.setdefault(relay.zone, Pace()).add(max(least, took / self.usual.mean()))
-            umpire.best_way = min(w.mean() for w in umpire.ways.values())  # asked for with every server drawn from
+            umpire.best_way = min(w.mean() for w in umpire.ways.values())  # for each server drawn from
         relay.server.relay_ended(outcome, took / self.usual.mean(), fair and relay.old_enough)
         spoke = outcome in (Outcome.HANDLED, Outcome.ERRORED) or (  # a server lost or cut off blames no build
             outcome is Outcome.LATE and relay.server.heard_at > relay.at)
