--- a/stepsail/trail/log.py
+++ b/stepsail/trail/log.py
@@ -251,6 +251,7 @@
             self.head(wall)
             self.sync()
         except OSError:
+            self.abandon()  # what is in this file now is not to be gone on with
             self.back_to(*before)
             raise
         self.disk.remove(file.name)
--- a/stepsail/trail/reader.py
+++ b/stepsail/trail/reader.py
@@ -12,7 +12,7 @@
 from stepsail.trail.disk import Disk, RealDisk
 from stepsail.trail.entries import DECODER, NO_LINK, Entry, Kind, link
 from stepsail.trail.keys import PUBLIC_FILE, handover_message, identity, signed_well
-from stepsail.trail.log import Head, Segment, names_of_segments, read_segment
+from stepsail.trail.log import Head, Part, Segment, names_of_segments, read_segment, unpack
 
 
 @dataclass
@@ -166,6 +166,7 @@
 
     def _walk(self, segment: Segment, chain: bytes, seq: int, until: int, waiting: list[Head]) -> tuple[bytes, int]:
         """Follow the chain through one segment, up to the entry that the next one follows."""
+        self._order(segment)
         heads = [head for _, head in segment.heads()]
         dropped = 0
         for number, data in segment.entries():
@@ -201,6 +202,18 @@
                                     "again or they were never confirmed")
         return chain, seq
 
+    def _order(self, segment: Segment) -> None:
+        """A head signs just what stands before it in its file: nothing more was put there, and nothing taken out.
+
+        Guards against a copy of a file's last entry behind it, which the head itself does not bind.
+        """
+        ahead = 0
+        for one in segment.frames:
+            if one.kind == Part.BATCH:
+                ahead = one.first + len(unpack(segment.data[one.start:one.end]))
+            elif one.kind == Part.HEAD and one.first != ahead:
+                self._find(segment.name, one.first, f"a head of {one.first} entries stands behind {ahead}")
+
     def _head(self, file: str, head: Head, chain: bytes) -> None:
         public = self.keys.get(head.key)
         if public is None or not signed_well(public, head.message(), head.signature):
--- a/tests/trail/test_retention.py
+++ b/tests/trail/test_retention.py
@@ -358,3 +358,14 @@
     data = Counted(disk.read(name))
     assert len(read_segment(name, data, tmp_path / name).frames) == 302
     assert Counted.sliced < 4 * len(data)
+
+
+def test_a_copy_of_the_last_entry_behind_it_is_found_by_the_head_that_follows(tmp_path: Path) -> None:
+    """A head binds what is before it; what is put between the two was once passed over as written again."""
+    disk, key = SimDisk(), Key.make(tmp_path)
+    log = grown(disk, tmp_path, key, 1)
+    honest = (log.seq, log.chain)
+    log.append([answer(2)], 1.0)
+    log.back_to(*honest)
+    log.close(1.0)
+    assert any("stands behind" in f.what for f in Auditor(disk, tmp_path, key.public).run().findings)
