A head is held against what it signs, and not against its frame's header

Cause: the check for entries put before a head compared the number in the frame around it, which anybody can write anew with its checksum, and unpacked every batch a second time for that. The audit now meets entries and heads in the order of the file, once, and compares the number that was signed.

--- a/stepsail/trail/log.py
+++ b/stepsail/trail/log.py
@@ -62,17 +62,30 @@
     damaged: Damaged | None = None
     unreadable: OSError | None = None
 
+    def contents(self) -> Iterator[tuple[int, bytes | Head]]:
+        """Entries as bytes by their numbers, and heads by the number that they sign, in the order of the file."""
+        for one in self.frames:
+            if one.kind == Part.BATCH:
+                yield from self._batch(one)
+            elif one.kind == Part.HEAD:
+                head = self._signed(one)
+                yield head.seq, head
+
     def entries(self) -> Iterator[tuple[int, bytes]]:
         """Numbered entries as bytes."""
         for one in self.frames:
             if one.kind == Part.BATCH:
-                yield from zip(range(one.first, 1 << 62), unpack(self.data[one.start:one.end]), strict=False)
+                yield from self._batch(one)
 
     def heads(self) -> Iterator[tuple[int, Head]]:
         """Each head with the offset of its frame."""
-        for one in self.frames:
-            if one.kind == Part.HEAD:
-                yield one.offset, msgspec.msgpack.decode(self.data[one.start:one.end], type=Head)
+        return ((one.offset, self._signed(one)) for one in self.frames if one.kind == Part.HEAD)
+
+    def _batch(self, one: Frame) -> Iterator[tuple[int, bytes]]:
+        return zip(range(one.first, 1 << 62), unpack(self.data[one.start:one.end]), strict=False)
+
+    def _signed(self, one: Frame) -> Head:
+        return msgspec.msgpack.decode(self.data[one.start:one.end], type=Head)
 
 
 def unpack(payload: bytes) -> list[bytes]:
--- a/stepsail/trail/reader.py
+++ b/stepsail/trail/reader.py
@@ -12,7 +12,7 @@
 from stepsail.trail.disk import Disk, RealDisk
 from stepsail.trail.entries import DECODER, NO_LINK, Entry, Kind, link
 from stepsail.trail.keys import PUBLIC_FILE, handover_message, identity, signed_well
-from stepsail.trail.log import Head, Part, Segment, names_of_segments, read_segment, unpack
+from stepsail.trail.log import Head, Segment, names_of_segments, read_segment
 
 
 @dataclass
@@ -166,10 +166,11 @@
 
     def _walk(self, segment: Segment, chain: bytes, seq: int, until: int, waiting: list[Head]) -> tuple[bytes, int]:
         """Follow the chain through one segment, up to the entry that the next one follows."""
-        self._order(segment)
-        heads = [head for _, head in segment.heads()]
         dropped = 0
-        for number, data in segment.entries():
+        for number, data in segment.contents():
+            if isinstance(data, Head):
+                self._head(segment.name, data, chain, seq, until)
+                continue
             if number >= until:
                 dropped += 1
                 continue
@@ -186,37 +187,26 @@
             elif kind == Kind.RETIRED:
                 self.retired.append((number, int(fields.get("follows", 0)), bytes(fields.get("link", b""))))
             chain, seq = link(chain, data), seq + 1
-            while heads and heads[0].seq == seq:
-                self._head(segment.name, heads.pop(0), chain)
             while waiting and waiting[0].seq <= seq:
                 head = waiting.pop(0)
                 if head.seq == seq and head.chain != chain:
                     self._find(segment.name, seq, "is not what a published head binds")
-        for head in heads:
-            if head.seq > until:
-                self._find(segment.name, head.seq, f"signed, and left out: the next file follows entry {until}")
-            else:
-                self._find(segment.name, head.seq, "a head that binds no entry here")
         if dropped:
             self.audit.notes.append(f"{segment.name}: {dropped} entries do not count; the next file wrote them "
                                     "again or they were never confirmed")
         return chain, seq
 
-    def _order(self, segment: Segment) -> None:
-        """A head signs just what stands before it in its file: nothing more was put there, and nothing taken out.
+    def _head(self, file: str, head: Head, chain: bytes, seq: int, until: int) -> None:
+        """A head signs just what stands before it in its file. What it says itself counts, and not its frame.
 
-        Guards against a copy of a file's last entry behind it, which the head itself does not bind.
+        Guards, too, against a copy of a file's last entry put behind it, which the links alone do not show.
         """
-        ahead = 0
-        for one in segment.frames:
-            if one.kind == Part.BATCH:
-                ahead = one.first + len(unpack(segment.data[one.start:one.end]))
-            elif one.kind == Part.HEAD and one.first != ahead:
-                self._find(segment.name, one.first, f"a head of {one.first} entries stands behind {ahead}")
-
-    def _head(self, file: str, head: Head, chain: bytes) -> None:
         public = self.keys.get(head.key)
-        if public is None or not signed_well(public, head.message(), head.signature):
+        if head.seq > until:
+            self._find(file, head.seq, f"signed, and left out: the next file follows entry {until}")
+        elif head.seq != seq:
+            self._find(file, head.seq, f"a head of {head.seq} entries stands behind {seq}")
+        elif public is None or not signed_well(public, head.message(), head.signature):
             self._find(file, head.seq, "a head whose signature is not good")
         elif head.chain != chain:
             self._find(file, head.seq, "the entries before this head are not those that were signed")
--- a/tests/trail/test_retention.py
+++ b/tests/trail/test_retention.py
@@ -16,10 +16,11 @@
 
 from stepsail.cli.trails import trail as command
 from stepsail.standins.disk import PowerLost, SimDisk
+from stepsail.store.frames import frame
 from stepsail.trail.committer import Trail, open_key
 from stepsail.trail.entries import DECODER, Kind, encode
 from stepsail.trail.keys import Key
-from stepsail.trail.log import Files, Head, TrailLog, Unreadable, names_of_segments, read_segment
+from stepsail.trail.log import Files, Head, Part, TrailLog, Unreadable, names_of_segments, read_segment
 from stepsail.trail.policy import Full, Survives
 from stepsail.trail.reader import Auditor, audit, counted, public_key
 from stepsail.trail.reconcile import reconcile
@@ -369,3 +370,10 @@
     log.back_to(*honest)
     log.close(1.0)
     assert any("stands behind" in f.what for f in Auditor(disk, tmp_path, key.public).run().findings)
+    # Nor does it help to say otherwise in the frame around the head, whose checksum anybody can make right.
+    (name,) = names_of_segments(disk)
+    data = bytes(disk.files[name].data)
+    last = read_segment(name, data, tmp_path / name).frames[-1]
+    disk.files[name].data = bytearray(data[:last.offset] + frame(
+        Part.HEAD, data[last.start:last.end], last.first + 1, last.clock))
+    assert any("stands behind" in f.what for f in Auditor(disk, tmp_path, key.public).run().findings)
