Every call over the capture's seam is written down in one place again

Cause: take and relay_ended had copies of what told does, and a server's build a property beside __getattr__, to save calls. Result: the same entries; the tests of capture and replay pass.

--- a/stepsail/capture/seam.py
+++ b/stepsail/capture/seam.py
@@ -25,9 +25,6 @@
     Verdict,
 )
 
-TAKE, ENDED = int(Told.TAKE), int(Told.ENDED)
-ANSWERED = (int(Asked.DENY), int(Asked.ERROR))
-
 
 class Sink(Protocol):
     """Where entries go. It must not wait: an umpire is deciding."""
@@ -61,11 +58,6 @@
     def __init__(self, recorder: Recorder, real: ServerHandle, number: int) -> None:
         self.recorder, self.real, self.number, self.address = recorder, real, number, real.address
 
-    @property
-    def build(self) -> Any:
-        """Asked for with every relay: found here, it costs no second look-up."""
-        return self.real.build  # type: ignore[attr-defined]
-
     def __getattr__(self, name: str) -> Any:
         return getattr(self.real, name)
 
@@ -94,20 +86,9 @@
         return self.real.finished
 
     def relay_ended(self, relay: int, outcome: Outcome, final: bool, took: float, report: Sequence[float]) -> None:
-        # As `told` does it, without its calls: this and `take` are made for every transaction.
-        recorder, values = self.recorder, (self.number, relay, int(outcome), final, took, tuple(report))
-        sink = recorder.sink
-        if sink.wants_state:
-            sink.state(recorder.frozen)
-        recorder.clock = clock = recorder.host.clock
-        recorder.asked = asked = list[tuple[Any, ...]]()
-        try:
-            self.real.relay_ended(relay, outcome, final, took, report)
-        except Exception as trouble:
-            sink.entry((ENDED, clock, values, asked, f"{type(trouble).__name__}: {trouble}"))
-            raise
-        sink.entry((ENDED, clock, values, asked, ""))
-        recorder.forget(self)
+        self.recorder.told(Told.ENDED, (self.number, relay, int(outcome), final, took, tuple(report)),
+                           self.real.relay_ended, relay, outcome, final, took, report)
+        self.recorder.forget(self)
 
     def client_left(self) -> None:
         self.recorder.told(Told.LEFT, (self.number,), self.real.client_left)
@@ -176,20 +157,9 @@
 
     def take(self, number: int, product: int, tenant: int, effort: float | None, until: float, key: int,
              again: bool) -> RecordedTransaction:
-        values, sink = (number, product, tenant, effort, until, key, again), self.sink
-        if sink.wants_state:
-            sink.state(self.frozen)
-        self.clock = clock = self.host.clock
-        self.asked = asked = list[tuple[Any, ...]]()
-        try:
-            real = self.real.take(number, product, tenant, effort, until, key, again)
-        except Exception as trouble:
-            sink.entry((TAKE, clock, values, asked, f"{type(trouble).__name__}: {trouble}"))
-            raise
-        sink.entry((TAKE, clock, values, asked, ""))
-        transaction = self.transactions.get(number) or self._transaction(real)
-        if asked and asked[-1][0] in ANSWERED and real.finished:  # else a relay is out, or it waits
-            del self.transactions[number]
+        values = (number, product, tenant, effort, until, key, again)
+        transaction = self._transaction(self.told(Told.TAKE, values, self.real.take, *values))
+        self.forget(transaction)
         return transaction
 
     def release_news(self, age: float, cap: float, build: int, stage: int, phase: Phase) -> None:
