--- a/stepsail/cli/experiments.py
+++ b/stepsail/cli/experiments.py
@@ -23,9 +23,9 @@
 from stepsail.experiment.compare import paired
 from stepsail.experiment.grid import grid, run_grid
 from stepsail.experiment.hunt import shrink, text_of
-from stepsail.experiment.load import LoadRun, Step, Wanted, knee
-from stepsail.experiment.report import by_day, page
-from stepsail.experiment.run import commit
+from stepsail.experiment.load import LoadRun, Step, Wanted, kept, knee
+from stepsail.experiment.report import HEAD, by_day, day_cells, page
+from stepsail.experiment.run import Run, commit
 from stepsail.experiment.table import JOURNAL, Table, read_rows
 from stepsail.loop import Loop, PollDriver
 from stepsail.standins.arrivals import burst, curve, shift, steady
@@ -34,6 +34,8 @@
 
 BAD, MISUSED = 1, 2
 FOLDER = click.Path(file_okay=False, path_type=Path)
+WRONG = (polars.col("failed") != "") | (polars.col("breaches") > 0)
+WORKERS = click.option("--workers", default=max(1, (os.cpu_count() or 2) - 2), show_default=True)
 
 
 def numbers(text: str) -> list[int]:
@@ -57,6 +59,14 @@
     return rows
 
 
+def _play(runs: list[Run], folder: Path, workers: int) -> int:
+    """Run a grid with its progress and the time left; how many were run now."""
+    columns = (TextColumn("{task.description}"), BarColumn(), MofNCompleteColumn(), TimeRemainingColumn())
+    with Progress(*columns, console=Console(stderr=True), transient=True) as shown:
+        task = shown.add_task(folder.name, total=len(runs))
+        return run_grid(runs, folder, workers, lambda done, _: shown.update(task, completed=done))
+
+
 @click.group()
 def experiment() -> None:
     """Grids of emulated days, kept as tables and compared."""
@@ -68,7 +78,7 @@
 @click.option("--seeds", default="1..5", show_default=True)
 @click.option("--modules", default="stepsail", show_default=True, help=f"Of {', '.join(MODULES)}.")
 @click.option("--umpires", default="", help="Numbers of umpires in place of the days' own.")
-@click.option("--workers", default=max(1, (os.cpu_count() or 2) - 2), show_default=True)
+@WORKERS
 def run_command(folder: Path, days: tuple[Path, ...], seeds: str, modules: str, umpires: str, workers: int) -> None:
     """Play each day with each seed and module; what FOLDER has already is not played again."""
     chosen = modules.split(",")
@@ -76,15 +86,11 @@
     if unknown:
         raise click.BadParameter(f"no module is called {unknown[0]}; there are {', '.join(MODULES)}")
     runs = grid(days, numbers(seeds), chosen, numbers(umpires))
-    columns = (TextColumn("{task.description}"), BarColumn(), MofNCompleteColumn(), TimeRemainingColumn())
-    with Progress(*columns, console=Console(stderr=True), transient=True) as shown:
-        task = shown.add_task(folder.name, total=len(runs))
-        count = run_grid(runs, folder, workers, lambda done, _: shown.update(task, completed=done))
+    count = _play(runs, folder, workers)
     rows = _rows(folder)
     lost, broken = rows.filter(polars.col("failed") != ""), int(rows["breaches"].fill_null(0).sum())
     click.echo(f"{count} runs now, {len(rows)} in all; {len(lost)} could not be played, {broken} breaches")
-    wrong = rows.filter((polars.col("failed") != "") | (polars.col("breaches") > 0))
-    for row in wrong.head(20).iter_rows(named=True):
+    for row in rows.filter(WRONG).head(20).iter_rows(named=True):
         click.echo(f"{row['key']}: {row['failed'] or row['breach']}", err=True)
     sys.exit(BAD if broken or len(lost) else 0)
 
@@ -108,12 +114,9 @@
     if as_csv:
         click.echo(rows.write_csv(), nl=False)
         return
-    table = Shown("day", "module", "umpires", "runs", "service", "ideal", "worst", "breaches", "right", "cold peak",
-                  "99% s")
-    for r in by_day(rows).iter_rows(named=True):
-        table.add_row(r["day"], r["module"], str(r["umpires"]), str(r["runs"]), f"{r['service']:.3f}",
-                      f"{r['ideal']:.3f}", f"{r['worst']:.3f}", str(r["breaches"]), f"{r['right']}/{r['releases']}",
-                      f"{r['cold_peak']:.2f}", f"{r['p99']:.2f}")
+    table = Shown(*HEAD)
+    for cells in day_cells(by_day(rows)):
+        table.add_row(*cells)
     Console().print(table)
 
 
@@ -130,8 +133,8 @@
         raise click.BadParameter(f"no column {what!r}; there are {', '.join(rows.columns)}")
     table = Shown("day", "pairs", f"{what}: mean", "95% interval", "sure", "pairs to tell 0.01")
     for day, d in paired(rows, by, one, other, what).items():
-        table.add_row(day or "all", str(d.pairs), f"{d.mean:+.4f}", f"{d.low:+.4f} to {d.high:+.4f}",
-                      "yes" if d.sure else "no", f"{d.needed:g}")
+        *seen, needed = d.cells()
+        table.add_row(day or "all", *seen, "yes" if d.sure else "no", needed)
     Console().print(table)
 
 
@@ -158,17 +161,14 @@
 @click.option("--rows", type=FOLDER, help="Where the runs are kept; else a folder that goes.")
 @click.option("--found", type=FOLDER, default=Path("days/found"), show_default=True)
 @click.option("--lose", type=float, default=0.0, help="Also days whose service is below this.")
-@click.option("--workers", default=max(1, (os.cpu_count() or 2) - 2), show_default=True)
+@WORKERS
 def hunt(days: tuple[Path, ...], seeds: str, rows: Path | None, found: Path, lose: float, workers: int) -> None:
     """Draw days until one breaks a rule or loses, and cut each find down to the smallest that still does."""
     folder = rows or Path(tempfile.mkdtemp(prefix="stepsail-hunt-"))
     runs = grid(days, numbers(seeds), ["stepsail"], [])
-    with Progress(console=Console(stderr=True), transient=True) as shown:
-        task = shown.add_task("days", total=len(runs))
-        run_grid(runs, folder, workers, lambda done, _: shown.update(task, completed=done))
+    _play(runs, folder, workers)
     table = _rows(folder)
-    broken = (polars.col("failed") != "") | (polars.col("breaches") > 0)
-    caught = table.filter(broken | (polars.col("service") < lose))
+    caught = table.filter(WRONG | (polars.col("service") < lose))
     click.echo(f"{len(table)} days, {len(caught)} caught")
     for row in caught.iter_rows(named=True):
         click.echo(f"{row['key']}: {row['failed'] or row['breach'] or row['service']}")
@@ -238,8 +238,5 @@
     if rows:
         table = Table(rows)
         for step in steps:
-            key = f"load {url} {form} {step.rate:g} {seconds:g} {seed} {commit()}"
-            table.add({"key": key, "day": f"load {form}", "seed": seed, "module": "stepsail", "commit": commit(),
-                       "failed": "", "umpires": 1, "breaches": 0, "ideal": 1.0,
-                       "service": step.in_time / max(1, step.due), **step.row()})
+            table.add(kept(step, f"{url} {form} {seed}", form, seed, commit()))
         table.close()
--- a/stepsail/experiment/compare.py
+++ b/stepsail/experiment/compare.py
@@ -23,6 +23,10 @@
     sd: float
     needed: float
 
+    def cells(self) -> list[str]:
+        """As tables show it: pairs, mean, interval, pairs needed."""
+        return [str(self.pairs), f"{self.mean:+.4f}", f"{self.low:+.4f} to {self.high:+.4f}", f"{self.needed:g}"]
+
     @property
     def sure(self) -> bool:
         """Whether the interval leaves zero out."""
--- a/stepsail/experiment/load.py
+++ b/stepsail/experiment/load.py
@@ -10,6 +10,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 from random import Random
+from typing import Any
 
 from hdrh.histogram import HdrHistogram
 
@@ -148,3 +149,10 @@
             break
         found = step.rate
     return found
+
+
+def kept(step: Step, name: str, form: str, seed: int, commit: str) -> dict[str, Any]:
+    """A step as a row of an experiment, with what tables show of any run; it has no releases and no cold boxes."""
+    return {"key": f"load {name} {step.rate:g} {step.seconds:g} {commit}", "day": f"load {form}", "seed": seed,
+            "module": "stepsail", "commit": commit, "failed": "", "umpires": 1, "breaches": 0, "ideal": 1.0,
+            "right": 0, "releases": 0, "cold_peak": 0.0, "service": step.in_time / max(1, step.due), **step.row()}
--- a/stepsail/experiment/report.py
+++ b/stepsail/experiment/report.py
@@ -14,6 +14,8 @@
 STYLE = ("body{font:15px sans-serif;max-width:70em;margin:2em auto}table{border-collapse:collapse}"
          "td,th{border:1px solid #ccc;padding:2px 8px;text-align:right}td:first-child{text-align:left}")
 
+HEAD = ["day", "module", "umpires", "runs", "service", "ideal", "worst", "breaches", "right", "cold peak", "99% s"]
+
 
 def _chart(draw: object) -> str:
     """A figure as an image inside the page."""
@@ -38,6 +40,13 @@
         polars.col("cold_peak").max(), polars.col("p99").median()).sort("service", "day", "module")
 
 
+def day_cells(days: polars.DataFrame) -> list[list[str]]:
+    """The lines of `by_day` as tables show them, under HEAD."""
+    return [[r["day"], r["module"], str(r["umpires"]), str(r["runs"]), f"{r['service']:.3f}", f"{r['ideal']:.3f}",
+             f"{r['worst']:.3f}", str(r["breaches"]), f"{r['right']} of {r['releases']}", f"{r['cold_peak']:.2f}",
+             f"{r['p99']:.2f}"] for r in days.iter_rows(named=True)]
+
+
 def page(rows: polars.DataFrame, title: str) -> str:
     """The page's HTML."""
     from matplotlib.figure import Figure
@@ -48,13 +57,7 @@
                  f"breaches of rules; commits {', '.join(sorted(set(rows['commit'].to_list())))}.</p>")
     days = by_day(rows)
     modules = sorted(set(days["module"].to_list()))
-    head = ["day", "module", "umpires", "runs", "service", "ideal", "worst", "breaches", "right", "cold peak",
-            "99% s"]
-    parts.append(_table(head, [
-        [r["day"], r["module"], str(r["umpires"]), str(r["runs"]), f"{r['service']:.3f}",
-         f"{r['ideal']:.3f}", f"{r['worst']:.3f}", str(r["breaches"]), f"{r['right']} of {r['releases']}",
-         f"{r['cold_peak']:.2f}", f"{r['p99']:.2f}"]
-        for r in days.iter_rows(named=True)]))
+    parts.append(_table(HEAD, day_cells(days)))
     figure = Figure(figsize=(9, 0.28 * max(6, days["day"].n_unique()) + 1))
     axes = figure.subplots()
     names = list(dict.fromkeys(days["day"].to_list()))
@@ -70,6 +73,5 @@
         told = paired(rows, "module", module, "stepsail")
         parts.append(f"<h2>stepsail less {html.escape(module)}</h2>")
         parts.append(_table(["day", "pairs", "mean", "95% interval", "pairs needed to tell 0.01"], [
-            [day or "all", str(d.pairs), f"{d.mean:+.4f}", f"{d.low:+.4f} to {d.high:+.4f}", f"{d.needed:g}"]
-            for day, d in told.items()]))
+            [day or "all", *d.cells()] for day, d in told.items()]))
     return "\n".join(parts) + "\n"
--- a/stepsail/experiment/run.py
+++ b/stepsail/experiment/run.py
@@ -22,7 +22,7 @@
 MOST_BREACHES = 5  # told of in a row
 
 
-@dataclass(frozen=True, order=True)
+@dataclass(frozen=True)
 class Run:
     """What is run. `key` names it in tables."""
 
@@ -59,9 +59,9 @@
     return hashlib.sha256("\0".join(texts).encode()).hexdigest()[:12]
 
 
-def execute(run: Run, folder: Path | None = None) -> dict[str, Any]:
-    """Play and judge it; the row. One that cannot be played has a row that says why. `folder` keeps what it left."""
-    out = folder or Path(tempfile.mkdtemp(prefix="stepsail-run-"))
+def execute(run: Run) -> dict[str, Any]:
+    """Play and judge it; the row. One that cannot be played has a row that says why."""
+    out = Path(tempfile.mkdtemp(prefix="stepsail-run-"))
     row: dict[str, Any] = {"key": run.key, "day": Path(run.day).stem, "file": run.day, "seed": run.seed,
                            "module": run.module, "commit": commit(), "failed": ""}
     try:
@@ -81,8 +81,7 @@
     except Exception as trouble:  # whatever it is, the grid goes on and the row tells of it
         row["failed"] = f"{type(trouble).__name__}: {trouble}"[:500]
     finally:
-        if folder is None:
-            shutil.rmtree(out, ignore_errors=True)
+        shutil.rmtree(out, ignore_errors=True)
     return row
 
 
--- a/stepsail/experiment/table.py
+++ b/stepsail/experiment/table.py
@@ -6,8 +6,8 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
-from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
@@ -24,17 +24,12 @@
     def __init__(self, folder: Path) -> None:
         self.folder = folder
         folder.mkdir(parents=True, exist_ok=True)
-        self.rows: dict[str, dict[str, Any]] = {}
         journal = folder / JOURNAL
-        whole = b""
-        if journal.exists():
-            data = journal.read_bytes()
-            whole = data[:data.rfind(b"\n") + 1]
-            for row in _lines(whole):
-                self.rows.setdefault(row["key"], row)
-            if len(whole) < len(data):
-                os.truncate(journal, len(whole))
+        data = journal.read_bytes() if journal.exists() else b""
+        whole = data[:data.rfind(b"\n") + 1]
+        self.rows = _rows(whole)
         self.out = journal.open("ab")
+        self.out.truncate(len(whole))
         self.since = 0
 
     def add(self, row: dict[str, Any]) -> bool:
@@ -50,14 +45,11 @@
             self.pack()
         return True
 
-    def frame(self) -> polars.DataFrame:
-        return _frame(self.rows)
-
     def pack(self) -> None:
         """Write the columnar file beside its place and move it there."""
         self.since = 0
         beside = self.folder / (ROWS + ".new")
-        self.frame().write_parquet(beside)
+        _frame(self.rows).write_parquet(beside)
         os.replace(beside, self.folder / ROWS)
 
     def close(self) -> None:
@@ -65,20 +57,19 @@
         self.out.close()
 
 
-def _lines(data: bytes) -> Iterator[dict[str, Any]]:
+def _rows(data: bytes) -> dict[str, dict[str, Any]]:
+    """By key, the first of each."""
+    rows: dict[str, dict[str, Any]] = {}
     for line in data.splitlines():
-        try:
-            yield msgspec.json.decode(line)
-        except msgspec.DecodeError:
-            continue  # cut short by a kill, and gone on behind
+        with contextlib.suppress(msgspec.DecodeError):  # cut short by a kill, and gone on behind
+            row = msgspec.json.decode(line)
+            rows.setdefault(row["key"], row)
+    return rows
 
 
 def read_rows(folder: Path) -> polars.DataFrame:
     """The rows of an experiment, running or not. Raises FileNotFoundError where there is none."""
-    rows: dict[str, dict[str, Any]] = {}
-    for row in _lines((folder / JOURNAL).read_bytes()):
-        rows.setdefault(row["key"], row)
-    return _frame(rows)
+    return _frame(_rows((folder / JOURNAL).read_bytes()))
 
 
 def _frame(rows: dict[str, dict[str, Any]]) -> polars.DataFrame:
--- a/tests/experiment/test_load.py
+++ b/tests/experiment/test_load.py
@@ -6,12 +6,14 @@
 from random import Random
 from typing import Any
 
+import polars
 import pytest
 
 from stepsail.emulate.clockwork import Clockwork, Machine
 from stepsail.emulate.driver import EmulatedDriver
 from stepsail.emulate.network import Network
-from stepsail.experiment.load import LoadRun, Step, Wanted, knee
+from stepsail.experiment.load import LoadRun, Step, Wanted, kept, knee
+from stepsail.experiment.report import by_day, day_cells, page
 from stepsail.http import Bounds, Inlet, encode_response
 from stepsail.loop import Listener, Loop, Stream
 from stepsail.standins.arrivals import arrivals, burst, curve, shift, steady
@@ -87,3 +89,10 @@
     from stepsail.cli.main import main
     done = CliRunner().invoke(main, ["load", "http://192.0.2.1:80/"])
     assert done.exit_code == 2 and "only a loopback address" in done.output
+
+
+def test_steps_can_be_shown_as_any_run_is() -> None:
+    """Once the tables asked for columns that the steps of a load did not have."""
+    rows = polars.from_dicts([kept(loaded(20.0, 1.0, lambda now: 0.01), "x", "steady", 1, "c")])
+    (cells,) = day_cells(by_day(rows))
+    assert cells[0] == "load steady" and cells[4] == "1.000" and "load steady" in page(rows, "x")
