--- a/stepsail/emulate/driver.py
+++ b/stepsail/emulate/driver.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING, cast
 
 from stepsail.emulate.clockwork import MOST_ROUNDS, Clockwork, Stuck
-from stepsail.emulate.network import DatagramPort, ListenerPort, Network, Port, StreamPort, closed_error
+from stepsail.emulate.network import DatagramPort, ListenerPort, Network, Port, StreamPort
 from stepsail.loop import driver as seam
 from stepsail.loop.driver import READ, WRITE, Address
 from stepsail.loop.errors import Closed
@@ -109,7 +109,7 @@
         self.ports.pop(port, None)
         self.marked.pop(port, None)
         for waiter in port.waiters.values():
-            waiter.throw(closed_error())
+            waiter.throw(Closed("the descriptor was closed while waited on"))
         port.waiters.clear()
         port.gone(power=False)
 
--- a/stepsail/emulate/network.py
+++ b/stepsail/emulate/network.py
@@ -16,7 +16,6 @@
 from typing import TYPE_CHECKING
 
 from stepsail.loop.driver import READ, WRITE, Address
-from stepsail.loop.errors import Closed
 
 if TYPE_CHECKING:
     from stepsail.emulate.clockwork import Clockwork
@@ -275,7 +274,7 @@
         self.datagrams: dict[Address, DatagramPort] = {}
         self.usual, self.paths = Path(), dict[tuple[str, Address], Path]()
         self.next_port = FIRST_PORT
-        self.messages = self.bytes = 0
+        self.messages = 0
 
     # -- paths -------------------------------------------------------------------------------------------
 
@@ -363,7 +362,3 @@
         if port is not None and len(port.inbox) < MOST_DATAGRAMS:
             port.inbox.append((data, sender))
             port.driver.mark(port)
-
-
-def closed_error() -> Closed:
-    return Closed("the descriptor was closed while waited on")
--- a/stepsail/verify/history.py
+++ b/stepsail/verify/history.py
@@ -199,11 +199,15 @@
         """When an umpire had surely heard what was said to it over a slow way that loses: once it asked for what
         comes behind it. None where it never did."""
         said = float(line["t"])
-        home = str(self.facts.get("home", self.facts["umpire_zones"][0]))
-        if not self.delay((self.zone_of(umpire), home), said + SLACK) or "seq" not in line:
+        if not self.delay((self.zone_of(umpire), self.home), said + SLACK) or "seq" not in line:
             return said
         return next((float(x["t"]) for x in lines if x["t"] > said and x.get("after", -1) >= line["seq"]), None)
 
+    @property
+    def home(self) -> str:
+        """The zone in which release control and the roster stand."""
+        return str(self.facts.get("home", self.facts["umpire_zones"][0]))
+
     def zone_of(self, umpire: int) -> str:
         zones: list[str] = self.facts["umpire_zones"]
         return zones[umpire] if 0 <= umpire < len(zones) else ""
--- a/stepsail/verify/rules.py
+++ b/stepsail/verify/rules.py
@@ -150,9 +150,7 @@
 
 def _not_heard(history: History, umpire: int, line: Line) -> bool:
     """What was said over a way that was cut then was lost."""
-    zones = history.facts["umpire_zones"]
-    home = zones[0] if "home" not in history.facts else history.facts["home"]
-    return (history.was_cut((history.zone_of(umpire), home), line["t"] - SLACK, line["t"] + SLACK)
+    return (history.was_cut((history.zone_of(umpire), history.home), line["t"] - SLACK, line["t"] + SLACK)
             or history.was_absent(umpire, line["t"], line["t"] + SLACK))
 
 
@@ -247,9 +245,8 @@
 
 def _may_have_heard(history: History, umpire: int, line: Line) -> bool:
     """An umpire that was killed within the slack may have heard and acted before."""
-    zones, at = history.facts["umpire_zones"], line["t"]
-    home = zones[0] if "home" not in history.facts else history.facts["home"]
-    return not history.was_absent(umpire, at, at) and not history.was_cut((history.zone_of(umpire), home), at, at)
+    ways, at = (history.zone_of(umpire), history.home), line["t"]
+    return not history.was_absent(umpire, at, at) and not history.was_cut(ways, at, at)
 
 
 def _recent(history: History, umpire: int, at: float) -> list[Line | None]:
