--- a/stepsail/cli/trails.py
+++ b/stepsail/cli/trails.py
@@ -5,7 +5,6 @@
 import csv
 import json
 import sys
-import time
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
@@ -14,7 +13,7 @@
 import msgspec
 
 from stepsail.store.frames import Damaged
-from stepsail.trail.committer import Locked, sealing
+from stepsail.trail.committer import Locked, seal
 from stepsail.trail.disk import RealDisk
 from stepsail.trail.entries import Entry, Kind
 from stepsail.trail.keys import Key, KeyTrouble
@@ -125,17 +124,15 @@
             click.echo(msgspec.json.encode(head).decode())
 
 
-@trail.command()
+@trail.command(name="seal")
 @click.argument("folder", type=FOLDER)
-def seal(folder: Path) -> None:
+def seal_trail(folder: Path) -> None:
     """Sign what a crash left behind the last head, close the trail, and print the head: publish it.
 
     For a trail whose umpire is stopped; a running one signs a head every few seconds itself.
     """
     try:
-        with sealing(folder) as log:
-            head = log.head(time.time())
-            log.sync()
+        head = seal(folder)
     except (OSError, Locked, KeyTrouble, Unreadable) as trouble:
         click.echo(str(trouble), err=True)
         sys.exit(BAD)
--- a/stepsail/trail/committer.py
+++ b/stepsail/trail/committer.py
@@ -11,22 +11,14 @@
 import queue
 import threading
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 from stepsail.trail.disk import Disk, RealDisk
 from stepsail.trail.entries import Kind, encode
 from stepsail.trail.keys import Key, KeyTrouble
-from stepsail.trail.log import (
-    MOST_SEGMENT,
-    RESERVE,
-    Files,
-    TrailLog,
-    Unreadable,
-    names_of_segments,
-    read_segment,
-)
+from stepsail.trail.log import MOST_SEGMENT, RESERVE, Files, Head, TrailLog, names_of_segments, needed_segment
 from stepsail.trail.policy import HEAD_EVERY, Full, Keeping, Survives
 from stepsail.trail.retention import AT_ONCE, Retention
 
@@ -51,10 +43,7 @@
                              "with 'stepsail trail new-key FOLDER', and publish it") from None
         return Key.make(folder)
     for name in reversed(names):
-        try:
-            segment = read_segment(name, disk.read(name), folder / name)
-        except OSError as trouble:
-            raise Unreadable(folder / name, trouble) from None
+        segment = needed_segment(disk, name, folder / name)
         last = [head for _, head in segment.heads()][-1:]
         if last and last[0].key != key.name and key.handover(folder) is None:
             raise KeyTrouble(f"the key in {folder} is {key.name}, and the trail was signed by {last[0].key}: this is "
@@ -75,9 +64,9 @@
     return lock
 
 
-@contextlib.contextmanager
-def sealing(folder: Path) -> Iterator[TrailLog]:
-    """A stopped umpire's trail, held and gone on with in a new file that is closed at the end."""
+def seal(folder: Path) -> Head | None:
+    """Go on with a stopped umpire's trail in a new file, and close it; its last head. Raises Locked, KeyTrouble,
+    Unreadable, OSError."""
     disk, lock = RealDisk(folder), locked(folder)
     try:
         names = names_of_segments(disk)
@@ -87,8 +76,7 @@
         log = TrailLog(disk, umpire, os.urandom(6).hex(), open_key(folder, disk), folder)
         log.recover()
         log.begin(time.time(), [])
-        yield log
-        log.close(time.time())
+        return log.close(time.time())
     finally:
         os.close(lock)
 
--- a/stepsail/trail/log.py
+++ b/stepsail/trail/log.py
@@ -77,6 +77,11 @@
             if one.kind == Part.BATCH:
                 yield from self._batch(one)
 
+    def start(self) -> tuple[float, dict[str, Any]] | None:
+        """Wall clock and fields of the START; None where there is no entry, or the first is another."""
+        first = next((DECODER.decode(e) for _, e in self.entries()), None)
+        return (first[1], first[2]) if first is not None and first[0] == Kind.START else None
+
     def heads(self) -> Iterator[tuple[int, Head]]:
         """Each head with the offset of its frame."""
         return ((one.offset, self._signed(one)) for one in self.frames if one.kind == Part.HEAD)
@@ -137,6 +142,14 @@
                          "disk, put the files back, and start again")
 
 
+def needed_segment(disk: Disk, name: str, file: Path) -> Segment:
+    """A file without which a trail cannot be gone on with. Raises Unreadable."""
+    try:
+        return read_segment(name, disk.read(name), file)
+    except OSError as trouble:
+        raise Unreadable(file, trouble) from None
+
+
 class Files:
     """The files of a trail as retention sees them. Sizes of sealed files are looked up once, as they never change."""
 
@@ -164,8 +177,7 @@
         segment = read_segment(name, data, self.folder / name)
         if not segment.frames and len(data) == MOST_START:
             segment = read_segment(name, self.disk.read(name), self.folder / name)
-        first = next((DECODER.decode(e) for _, e in segment.entries()), None)
-        return (first[1], first[2]) if first is not None and first[0] == Kind.START else None
+        return segment.start()
 
 
 class TrailLog:
@@ -190,11 +202,7 @@
         if names:
             self.number = int(names[-1].split("-")[0]) + 1
         for name in reversed(names):
-            try:
-                data = self.disk.read(name)
-            except OSError as trouble:
-                raise Unreadable(self.folder / name, trouble) from None
-            segment = read_segment(name, data, self.folder / name)
+            segment = needed_segment(self.disk, name, self.folder / name)
             if segment.damaged:
                 told.append(f"{segment.damaged}; what follows there does not count, and an audit will say so")
             if segment.torn_at is not None:
@@ -269,11 +277,14 @@
             raise
         self.disk.remove(file.name)
 
-    def close(self, wall: float) -> None:
-        if self.fd is not None:
-            self.head(wall)
-            self.disk.sync(self.fd)
-            self.abandon()
+    def close(self, wall: float) -> Head | None:
+        """Sign, sync and let go of the file; its last head, if one was open."""
+        if self.fd is None:
+            return None
+        head = self.head(wall)
+        self.disk.sync(self.fd)
+        self.abandon()
+        return head
 
     def abandon(self) -> None:
         if self.fd is not None:
--- a/stepsail/trail/reader.py
+++ b/stepsail/trail/reader.py
@@ -54,12 +54,9 @@
 
 
 def _start(segment: Segment) -> dict[str, Any] | None:
-    """The START of a segment, if it holds any entry."""
-    first = next((e for _, e in segment.entries()), None)
-    if first is None:
-        return None
-    kind, _, fields = DECODER.decode(first)
-    return fields if kind == Kind.START else None
+    """The fields of a segment's START, if it holds any entry."""
+    found = segment.start()
+    return found[1] if found else None
 
 
 def counted(disk: Disk, folder: Path) -> Iterator[tuple[str, int, bytes]]:
