Actors are whole once made, and an emulated umpire that cannot run says why in its log

Cause: command, clockwork and module were set on them from outside; and what refused a start (a trail, wrong settings) was raised before there was a log, while the message of the rehearsal sends its reader there. Result: a test reads it.

--- a/stepsail/emulate/actors.py
+++ b/stepsail/emulate/actors.py
@@ -16,6 +16,7 @@
 from stepsail.emulate.network import Network
 from stepsail.interface import MakeUmpire
 from stepsail.loop import Loop
+from stepsail.loop.driver import Address
 from stepsail.standins.rehearsal import Actor, Hire
 from stepsail.standins.transcript import Transcript
 from stepsail.umpire.life import Daemon
@@ -52,10 +53,11 @@
 class EmulatedUmpire(Actor):
     """The daemon of `stepsail umpire` on an emulated machine. No audit trail: its thread keeps real time."""
 
-    clockwork: Clockwork
-    network: Network
-    make: MakeUmpire
-    machine: Machine | None = None
+    def __init__(self, loop: Loop, number: int, zone: str, listen: Address, out: Path, transcript: Transcript,
+                 clockwork: Clockwork, network: Network, make: MakeUmpire) -> None:
+        super().__init__(loop, number, zone, listen, out, transcript)
+        self.clockwork, self.network, self.make = clockwork, network, make
+        self.machine: Machine | None = None
 
     def start(self) -> None:
         name = f"umpire {self.number}"
@@ -64,12 +66,13 @@
         self.transcript.add("umpire", "started", umpire=self.number)
 
     def _main(self, loop: Loop) -> int:
-        orders = read_orders(self.file)
-        if orders.trail:
-            raise ValueError(f"{self.file}: an emulated umpire keeps no trail; take 'trail' out of the site's file")
-        log = EmulatedLog(self.clockwork, self.log, orders.log_level, umpire=self.number)
+        log = EmulatedLog(self.clockwork, self.log, "info", umpire=self.number)
         loop.report = lambda event, **fields: log.warning(event, **fields)
         try:
+            orders = read_orders(self.file)
+            if orders.trail:
+                raise OSError(f"{self.file}: an emulated umpire keeps no trail; take 'trail' out of the site's file")
+            log.least = LEVELS[orders.log_level]
             code: int = loop.run(Daemon(loop, orders, self.make, log, orders.log_level == "debug").run)
         except (OSError, Faults) as trouble:
             log.error("cannot_run", error=str(trouble))
@@ -99,7 +102,5 @@
 def emulated(clockwork: Clockwork, network: Network, make: MakeUmpire = Umpire) -> Hire:
     """Umpires as machines of this emulation; `make`: another build of the module, for comparisons."""
     def hire(loop: Loop, number: int, zone: str, out: Path, transcript: Transcript) -> Actor:
-        actor = EmulatedUmpire(loop, number, zone, network.free_address(), out, transcript)
-        actor.clockwork, actor.network, actor.make = clockwork, network, make
-        return actor
+        return EmulatedUmpire(loop, number, zone, network.free_address(), out, transcript, clockwork, network, make)
     return hire
--- a/stepsail/standins/rehearsal.py
+++ b/stepsail/standins/rehearsal.py
@@ -105,8 +105,11 @@
 class UmpireProcess(Actor):
     """An umpire as a process of its own."""
 
-    command: list[str]
-    process: subprocess.Popen[bytes] | None = None
+    def __init__(self, loop: Loop, number: int, zone: str, listen: Address, out: Path, transcript: Transcript,
+                 command: list[str]) -> None:
+        super().__init__(loop, number, zone, listen, out, transcript)
+        self.command = command
+        self.process: subprocess.Popen[bytes] | None = None
 
     def start(self) -> None:
         with self.log.open("ab") as log:
@@ -133,9 +136,8 @@
 def processes(command: list[str] | None = None) -> Hire:
     """Umpires as processes that run this command, or the usual one."""
     def hire(loop: Loop, number: int, zone: str, out: Path, transcript: Transcript) -> Actor:
-        actor = UmpireProcess(loop, number, zone, free_address(), out, transcript)
-        actor.command = command or [sys.executable, "-m", "stepsail", "umpire"]
-        return actor
+        return UmpireProcess(loop, number, zone, free_address(), out, transcript,
+                             command or [sys.executable, "-m", "stepsail", "umpire"])
     return hire
 
 
--- a/tests/emulate/test_days.py
+++ b/tests/emulate/test_days.py
@@ -57,6 +57,7 @@
         "site site.conf" if line.startswith("site ") else line for line in text.splitlines()) + "\n")
     with pytest.raises(RuntimeError, match="not ready"):
         play(read_day(tmp_path / "day.conf"), tmp_path / "out")
+    assert "keeps no trail" in (tmp_path / "out/umpire-0.log").read_text()  # where the message sends its reader
 
 
 def test_five_hundred_and_forty_umpires_fit_a_stated_memory(tmp_path: Path) -> None:
