--- a/stepsail/emulate/driver.py
+++ b/stepsail/emulate/driver.py
@@ -11,7 +11,6 @@
 from stepsail.emulate.network import DatagramPort, ListenerPort, Network, Port, StreamPort
 from stepsail.loop import driver as seam
 from stepsail.loop.driver import READ, WRITE, Address
-from stepsail.loop.errors import Closed
 
 if TYPE_CHECKING:
     from stepsail.emulate.clockwork import Machine
@@ -83,11 +82,7 @@
 
     def want(self, port: seam.Port, direction: int, waiter: Waiter) -> None:
         assert isinstance(port, Port)
-        if port.closed:
-            raise Closed("the descriptor is closed")
-        if direction in port.waiters:
-            raise RuntimeError("two tasks wait on one descriptor for the same thing")
-        port.waiters[direction] = waiter
+        port.admit(direction, waiter)
         if port.ready(direction):
             self.marked[port] = None
 
@@ -108,9 +103,7 @@
         port.closed = True
         self.ports.pop(port, None)
         self.marked.pop(port, None)
-        for waiter in port.waiters.values():
-            waiter.throw(Closed("the descriptor was closed while waited on"))
-        port.waiters.clear()
+        port.dismiss()
         port.gone(power=False)
 
     def listen(self, address: Address, backlog: int) -> seam.Port:
--- a/stepsail/emulate/network.py
+++ b/stepsail/emulate/network.py
@@ -16,11 +16,11 @@
 from typing import TYPE_CHECKING
 
 from stepsail.loop.driver import READ, WRITE, Address
+from stepsail.loop.waits import Waits
 
 if TYPE_CHECKING:
     from stepsail.emulate.clockwork import Clockwork
     from stepsail.emulate.driver import EmulatedDriver
-    from stepsail.loop.hub import Waiter
 
 WINDOW = 1 << 18  # bytes under way or unread in one direction of a stream; a sender beyond waits
 SENT_AGAIN = 0.2  # s until a lost segment is sent again: the least retransmission time of a common system
@@ -42,12 +42,12 @@
     held: list[Callable[[], object]] = field(default_factory=list)
 
 
-class Port:
+class Port(Waits):
     """What all ports have: an owner, waiters, and whether somebody closed them."""
 
     def __init__(self, driver: EmulatedDriver, address: Address) -> None:
-        self.driver, self.address, self.closed, self.silent = driver, address, False, False
-        self.waiters: dict[int, Waiter] = {}
+        super().__init__()
+        self.driver, self.address, self.silent = driver, address, False
 
     def ready(self, direction: int) -> bool:
         raise NotImplementedError
--- a/stepsail/loop/poll.py
+++ b/stepsail/loop/poll.py
@@ -15,7 +15,7 @@
 from typing import TYPE_CHECKING, cast
 
 from stepsail.loop.driver import READ, WRITE, Address, Port
-from stepsail.loop.errors import Closed
+from stepsail.loop.waits import Waits
 
 if TYPE_CHECKING:
     from stepsail.loop.hub import Waiter
@@ -29,13 +29,13 @@
 RESET = struct.pack("ii", 1, 0)  # linger of 0 s: close sends a reset
 
 
-class SocketPort:
+class SocketPort(Waits):
     """A non-blocking socket with at most one waiter for each direction."""
 
     def __init__(self, sock: socket.socket) -> None:
+        super().__init__()
         sock.setblocking(False)
-        self.sock, self.fd, self.closed, self.mask = sock, sock.fileno(), False, 0
-        self.waiters: dict[int, Waiter] = {}
+        self.sock, self.fd, self.mask = sock, sock.fileno(), 0
 
     def accept(self) -> tuple[Port, Address] | None:
         try:
@@ -171,11 +171,7 @@
 
     def want(self, port: Port, direction: int, waiter: Waiter) -> None:
         assert isinstance(port, SocketPort)
-        if port.closed:
-            raise Closed("the descriptor is closed")
-        if direction in port.waiters:
-            raise RuntimeError("two tasks wait on one descriptor for the same thing")
-        port.waiters[direction] = waiter
+        port.admit(direction, waiter)
         if not port.mask & READY[direction]:
             self._mask(port)
 
@@ -193,9 +189,7 @@
             self.poller.unregister(port.fd)
             self.ports.pop(port.fd, None)
         port.sock.close()
-        for waiter in port.waiters.values():
-            waiter.throw(Closed("the descriptor was closed while waited on"))
-        port.waiters.clear()
+        port.dismiss()
 
     def listen(self, address: Address, backlog: int) -> Port:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
