--- a/stepsail/experiment/ideal.py
+++ b/stepsail/experiment/ideal.py
@@ -11,7 +11,7 @@
 
 from __future__ import annotations
 
-from bisect import bisect_left, bisect_right
+from bisect import bisect_right
 from itertools import accumulate
 
 from stepsail.verify import History
@@ -68,16 +68,15 @@
 
 def bound(history: History) -> float:
     """The most of the revenue asked for that could have been answered in time."""
-    asked = sorted(demands(history))
+    asked = sorted(demands(history), key=lambda x: x[1])  # by when they fall due
     whole = sum(revenue for *_, revenue in asked)
     if not whole:
         return 1.0
     begin, end = float(history.facts["t"]), max(due for _, due, _, _ in asked)
     cores, worst = capacity(history, end), 0.0
-    arrivals = [at for at, *_ in asked]
     for first in range(len(cores) - 1):
         since = begin + first * STEP
-        later = sorted(asked[bisect_left(arrivals, since):], key=lambda x: x[1])
+        later = [x for x in asked if x[0] >= since]
         dues = [due for _, due, _, _ in later]
         works = list(accumulate((work for _, _, work, _ in later), initial=0.0))
         for last in range(first + 1, len(cores)):
