A trial is held only while half the servers are of earlier builds

Cause: at the last stage of a site that replaces its servers all of them are of the build on trial. Dropped: rule on exposure (cap 1), keys that go one way (few umpires had any), no connection (no relay was tried). At fault: the hold in Trial.look and Umpire.may_expose.

--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -25,6 +25,7 @@
 SLOWER, FAULTS = 1.35, 0.004  # times that a good build's relays may take; share that fails on any build
 GUESSES = (0.04, 0.12, 0.35, 0.75)  # excess shares that a build is tried for: rare faults to a failed product
 CLEAR, HELD, DOSE = 1.5, 4.5, 0.25  # s of a hold until it shows; in all; cap from which one hold is proof
+OTHERS = 0.5  # least share of servers of earlier builds for a hold: with fewer, it would deny what they can't do
 FADE = (3.0, 0.5, 0.8)  # s between fadings; what of the latest sample, and of a server's own, each leaves
 JUDGES, TELL_EVERY = 3, 1.0  # umpires that pool what all saw, as one or two may be cut off; s between words
 YOUNG, PATIENT, MOST_START = 3.0, 3.7, 11.7  # s from a start to evidence; to an on; if servers are missing
@@ -365,8 +366,12 @@
             self.helped, self.sure_at = self.helped + helps, now + HELD * helps
             panel.calm, panel.lately = panel.calm if helps else merged([panel.lately]), {}
             return Verdict.BACK if helps and self.helped > (umpire.cap < DOSE) else Verdict.NONE
-        self.held_at = now if everywhere > surely and self.phase is Phase.TRIAL else 0.0
-        sound = spread < LEAN and faults < surely / 2 and common < LEAN and everywhere < surely / 2
+        # Guards against a hold while nearly all are new servers: it denied all there was, for good.
+        olds = sum(s.build < self.build for s in umpire.ready)
+        can_hold = self.phase is Phase.TRIAL and olds >= OTHERS * len(umpire.ready)
+        self.held_at = now if everywhere > surely and can_hold else 0.0
+        sound = (spread < LEAN and faults < surely / 2 and common < LEAN
+                 and (everywhere < surely / 2 or not can_hold))
         enough = wide + around < TOLERANCE or max(n, sum(x.n for x in counted.values())) >= LEAST
         return Verdict.ON if settled and sound and enough and now >= self.sure_at else Verdict.NONE
 
@@ -502,6 +507,7 @@
         start, (taken, sent) = self.host.clock - self.charter.window, self.allowance(transaction)
         left = self.charter.free + told[1] * taken.since(start + SLIP) - sent.since(start - SLIP)
         held = self.trial is not None and self.host.clock < self.trial.hold_until
+        held = held and sum(s.build < build for s in self.ready) >= OTHERS * len(self.ready)
         # Guards against a restart inside a window, of which its forgotten life may have used all.
         known = start >= self.began
         return known and not (guarded or held) and told[1] > 0 and left >= 1
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -255,6 +255,23 @@
     assert (Verdict.BACK in [v for _, _, v in desk.votes]) is build_is_slow
 
 
+@pytest.mark.parametrize("olds", [2, 0])
+def test_a_trial_is_held_only_while_earlier_servers_can_do_its_work(olds: int) -> None:
+    # At the last stage all servers were new: a hold denied every transaction of the fleet, again and again.
+    desk = on_trial((1,) * olds + (2,) * 2)
+    trial, panel = desk.umpire.trial, desk.umpire.panel
+    assert trial
+    panel.calm[0] = Sample()
+    for at in range(800):
+        (panel.calm[0] if at < 400 else panel.lately.setdefault(0, Sample())).add(2 if at < 400 else 7)
+    panel.new = True
+    desk.wait(0.3)
+    assert bool(trial.held_at) is bool(olds)
+    trial.reach(Verdict.HOLD, True)  # a neighbour with another list finds one
+    assert desk.umpire.may_expose(desk.take(0), 2) is not bool(olds)
+    assert olds or not trial.held_at and desk.relays
+
+
 def test_a_quiet_umpire_keeps_few_servers_in_use_and_those_with_a_connection() -> None:
     # Connections that were slow to open failed on half of all relays, as each server was used twice a minute.
     desk = Desk(builds=(1,) * 40, umpires=40, me=3)
