A product or tenant that alone is late is stuck: few of it relayed, nobody blamed

Dropped: overloaded servers (util low, others' relays took the usual time), builds (both alike). At fault: widen, Server.relay_ended and Panel.learn took every late answer for the servers' doing. Change: each product and tenant is a flow; one that is late while the rest is not is stuck. Its transactions are denied at once with the longest time to stay away, but for a twentieth of the window that finds out when it is over; its endings blame nobody, and the stage's test starts anew. A relay is late once its target has passed.

--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -25,7 +25,8 @@
 SLOWER, FAULTS = 1.35, 0.004  # times that a good build's relays may take; share that fails on any build
 GUESSES = (0.04, 0.12, 0.35, 0.75)  # excess shares that a build is tried for: rare faults to a failed product
 CLEAR, HELD, DOSE = 1.5, 4.5, 0.25  # s of a hold until it shows; in all; cap from which one hold is proof
-OTHERS = 0.5  # least share of servers of earlier builds for a hold: with fewer, it would deny what they can't do
+STUCK, SEEN, TRIED = (0.5, 0.25), 6, 0.05  # late shares from, until which; others seen; part of window to try
+OTHERS = 0.5  # least share of servers of earlier builds for a hold: fewer cannot do the work of all
 FADE = (3.0, 0.5, 0.8)  # s between fadings; what of the latest sample, and of a server's own, each leaves
 JUDGES, TELL_EVERY = 3, 1.0  # umpires that pool what all saw, as one or two may be cut off; s between words
 YOUNG, PATIENT, MOST_START = 3.0, 3.7, 11.7  # s from a start to evidence; to an on; if servers are missing
@@ -110,6 +111,21 @@
         return self.total / self.n
 
 
+class Flow:
+    """One product's or one tenant's transactions, and whether they alone are late, wherever they are sent."""
+
+    def __init__(self) -> None:
+        self.own, self.rest, self.stuck = Pace(0.0), Pace(0.0), False
+
+    def ended(self, mine: bool, late: bool) -> bool:
+        """Whether this ending shows the flow to be stuck."""
+        (self.own if mine else self.rest).add(late)
+        before, late_share = self.stuck, self.own.mean()
+        alone = self.rest.n >= SEEN and late_share > max(STUCK[0], 2 * self.rest.mean())  # not in overload
+        self.stuck = late_share > STUCK[1] if before else alone
+        return self.stuck and not before
+
+
 class Times(deque[float]):
     def since(self, start: float) -> int:
         while self and self[0] < start:
@@ -165,16 +181,19 @@
 
     def stalled(self) -> bool:
         """Guards against a server that holds relays and falls silent; harms: a heavy relay on a quiet one."""
-        now, patience = self.umpire.host.clock, STALL * self.out[0].transaction.usual.mean() * self.way()
-        return self.rest_until <= now and now - max(self.out[0].at, self.heard_at) > max(REST, patience)
+        held = next((r for r in self.out if not r.transaction.stuck), None)
+        if held is None:
+            return False
+        now, patience = self.umpire.host.clock, STALL * held.transaction.usual.mean() * self.way()
+        return self.rest_until <= now and now - max(held.at, self.heard_at) > max(REST, patience)
 
-    def relay_ended(self, outcome: Outcome, ratio: float, old_enough: bool) -> None:
+    def relay_ended(self, outcome: Outcome, ratio: float, old_enough: bool, excused: bool = False) -> None:
         if outcome in (Outcome.HANDLED, Outcome.ERRORED, Outcome.FULL):
             self.heard_at = self.umpire.host.clock
         if outcome is Outcome.HANDLED:
             self.silent = 0
-            self.pace.add(ratio if old_enough else 1.0)
-        elif outcome in (Outcome.UNREACHED, Outcome.BROKEN, Outcome.LATE, Outcome.ERRORED):
+            self.pace.add(ratio if old_enough and not excused else 1.0)
+        elif outcome in (Outcome.UNREACHED, Outcome.BROKEN, Outcome.LATE, Outcome.ERRORED) and not excused:
             # Guards against servers dead, cut off or stalled, or that err at once and, never busy, draw more.
             self.rest(2 if outcome in (Outcome.UNREACHED, Outcome.BROKEN) else 1)
 
@@ -195,15 +214,22 @@
         self.transaction, self.server, self.at = transaction, server, at
         self.build, self.zone, self.cell = server.build, server.zone, server.cell  # as they were when sent
         self.ended, self.may_have_run, self.old_enough = False, True, at - server.since >= YOUNG
+        self.judged = False  # whether it has told on its flows
         self.opened = server.heard_at < at - transaction.umpire.charter.idle_for
 
 
 class Transaction:
-    def __init__(self, umpire: Umpire, number: int, product: int, until: float, key: int, again: bool):
+    def __init__(self, umpire: Umpire, number: int, product: int, tenant: int, until: float, key: int,
+                 again: bool) -> None:
         self.umpire, self.number, self.until, self.key, self.again = umpire, number, until, key, again
         self.closed, self.taken, self.luck = False, umpire.host.clock, umpire.chance()
         self.product, self.relays = umpire.charter.products[product], list[Relay]()
         self.usual: Pace = umpire.usual[product]
+        self.flows = (umpire.flows[product], umpire.flows[len(umpire.usual) + tenant])
+
+    @property
+    def stuck(self) -> bool:
+        return self.flows[0].stuck or self.flows[1].stuck
 
     @property
     def finished(self) -> bool:
@@ -232,7 +258,8 @@
         spare = self.product.target if self.relays else max(spare, WAIT * self.product.target)
         hopeless = now > self.taken + spare and not (self.relays and self.product.late_share)
         if (hopeless or now >= self.until - BEAT - SLIP or len(self.relays) >= umpire.charter.most_relays
-                or not any(self.may_go(s) for s in umpire.servers)):
+                or not any(self.may_go(s) for s in umpire.servers)
+                or (self.stuck and not umpire.tries(self))):
             return self.close()
         server = umpire.choose(self) if umpire.has_room(self.luck) else None
         umpire.rouse(LOOK if server else BEAT)
@@ -257,16 +284,18 @@
         if relay.opened:
             umpire.connects.add(outcome is Outcome.UNREACHED)
         fair = not umpire.was_away()
-        if outcome is Outcome.HANDLED and fair:
+        if outcome is Outcome.HANDLED and fair and not self.stuck:
             self.usual.add(took)
-        if fair and outcome not in (Outcome.ERRORED, Outcome.FULL, Outcome.UNSENT):
+        if fair and not self.stuck and outcome not in (Outcome.ERRORED, Outcome.FULL, Outcome.UNSENT):
             least = 0.0 if outcome is Outcome.HANDLED else FAR
             umpire.ways.setdefault(relay.zone, Pace()).add(max(least, took / self.usual.mean()))
             umpire.best_way = min(w.mean() for w in umpire.ways.values())  # for each server drawn from
-        relay.server.relay_ended(outcome, took / self.usual.mean(), fair and relay.old_enough)
+        relay.server.relay_ended(outcome, took / self.usual.mean(), fair and relay.old_enough, self.stuck)
         spoke = outcome in (Outcome.HANDLED, Outcome.ERRORED) or (  # a server lost or cut off blames no build
             outcome is Outcome.LATE and relay.server.heard_at > relay.at)
         if spoke and fair and relay.server.way() < FAR:
+            self.judge_flows(relay, outcome is Outcome.LATE or took > self.product.target)
+        if spoke and fair and relay.server.way() < FAR and not self.stuck:
             umpire.widen(outcome is not Outcome.LATE and took <= self.product.target)
             share = took / self.product.abandon if outcome is Outcome.HANDLED else 1.0
             if relay.old_enough:
@@ -279,6 +308,15 @@
         if umpire.waiting and umpire.has_room():
             umpire.serve_waiting(False)
 
+    def judge_flows(self, relay: Relay, late: bool) -> None:
+        """Guards against a product or tenant that waits at every server: its late answers narrowed the
+        window, rested servers and blamed builds, until next to nothing was relayed."""
+        if not relay.judged:
+            umpire, relay.judged = self.umpire, True
+            flows = [f for f in self.flows if f.stuck] or umpire.flows
+            if any([f.ended(f in self.flows, late) for f in flows]):
+                umpire.panel.start_anew()
+
     def client_left(self) -> None:
         self.closed = True
 
@@ -305,6 +343,14 @@
             self.words.append((server, build, product, place))
         self.new = True
 
+    def start_anew(self) -> None:
+        """What was seen is not the servers' nor the builds' doing."""
+        self.lately, trial = {}, self.umpire.trial
+        for server in self.umpire.servers:
+            server.seen, server.silent, server.rest_until = {}, 0, 0.0
+        if trial:
+            trial.fresh, trial.before = {}, {}
+
     def tell(self) -> None:
         """Each umpire's outcomes go to a few judges, so that what is said grows with transactions alone."""
         umpire, trial = self.umpire, self.umpire.trial
@@ -413,6 +459,7 @@
         self.servers, self.ready = list[Server](), list[Server]()
         self.waiting, self.open, self.keys = list[Transaction](), list[Relay](), dict[int, int]()
         self.usual, self.ways = [Pace(PRIOR * p.target) for p in charter.products], dict[int, Pace]()
+        self.flows = [Flow() for _ in range(len(charter.products) + max(1, len(charter.tenant_shares)))]
         self.allowances = [(Times(maxlen=KEPT), Times()) for _ in charter.products]  # taken, sent on trial
         self.window, self.taken, self.panel = WINDOW, Times(maxlen=KEPT), Panel(self)
         self.vote_spread = max(0.0, charter.umpires / max(1.0, charter.votes_per_s) - BURST)
@@ -487,7 +534,8 @@
 
     def take(self, number: int, product: int, tenant: int, effort: float | None, until: float, key: int,
              again: bool) -> Transaction:
-        transaction = Transaction(self, number, product, until, key, again)
+        tenant = min(tenant, len(self.flows) - len(self.usual) - 1)
+        transaction = Transaction(self, number, product, tenant, until, key, again)
         for times in (self.allowance(transaction)[0], self.taken):
             times.append(self.host.clock)
         transaction.dispatch()
@@ -543,7 +591,13 @@
             self.window = max(least, self.window + step)
 
     def has_room(self, luck: float = 0.0) -> bool:
-        return max(luck, sum(len(s.out) for s in self.ready if s.out and s.awake())) < self.window
+        held = sum(not r.transaction.stuck for r in self.open if r.server.awake())
+        return max(luck, held) < self.window
+
+    def tries(self, transaction: Transaction) -> bool:
+        """A few of a stuck flow find out whether it still is: they hold places that all others need."""
+        held = sum(r.transaction.stuck for r in self.open)
+        return bool(transaction.relays) or max(transaction.luck, held) < TRIED * self.window
 
     def serve_waiting(self, whole: bool) -> None:
         """Guards against a look at all that wait after each relay: then only while there is room."""
@@ -572,6 +626,8 @@
         if now < self.beat_at - SLIP / 2:
             return  # one set earlier
         away, self.beat_at = self.was_away(), inf
+        for relay in [r for r in self.open if not away and now > r.at + r.transaction.product.target]:
+            relay.transaction.judge_flows(relay, True)
         for server in [s for s in dict.fromkeys(r.server for r in self.open) if not away and s.stalled()]:
             server.rest(2)  # what it holds goes elsewhere where it may
             for held, relay in [(r.transaction, r) for r in server.out if self.charter.may_withdraw]:
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -387,3 +387,57 @@
         desk.wait(0.01)
     fresh = [at for _, server, at, _ in desk.relays if server.build == 2]
     assert 1 <= len(fresh) <= 2 and min(fresh) >= 103.0
+
+
+def test_a_tenant_that_waits_everywhere_costs_the_others_nothing() -> None:
+    # One partner's transactions waited at all servers: their late answers narrowed the window until 19 of 20 of
+    # everybody's were denied, rested the servers and were held against the build on trial.
+    desk = Desk(builds=(1, 1, 1, 2), tenant_shares=(0.5, 0.5), free=9.0, guarded_stages=0)
+    desk.news(2, 0, Phase.TRIAL, 0.5)
+    open_ones, denied, taken = [], 0, 0
+    for at in range(600):
+        tenant = at % 2
+        one = desk.umpire.take(at, 0, tenant, None, desk.clock + 3.0, 0, False)
+        open_ones.append((desk.clock + (2.0 if tenant else 0.1), one))
+        for _, held in [x for x in open_ones if x[0] <= desk.clock]:
+            if held.relays and not held.relays[0].ended:
+                held.relay_ended(0, Outcome.HANDLED, True, desk.clock - held.relays[0].at, ())
+        open_ones = [x for x in open_ones if x[0] > desk.clock]
+        desk.wait(0.05)
+        if at > 200:
+            taken += not tenant
+            denied += not tenant and one in desk.denied
+    flows = desk.umpire.flows
+    assert flows[-1].stuck and not any(f.stuck for f in flows[:-1])
+    assert denied < 0.02 * taken and desk.umpire.window > 3
+    assert all(s.awake() for s in desk.servers) and (2, 0, Verdict.BACK) not in desk.votes
+    stuck = [t for t, _, at, _ in desk.relays if at > 120 and t.flows[1].stuck]
+    assert 0 < len(stuck) < 60  # a few find out when it is over
+    for _, held in open_ones:
+        if held.relays and not held.relays[0].ended:
+            held.relay_ended(0, Outcome.HANDLED, True, 2.0, ())
+    for _ in range(300):
+        one = desk.umpire.take(9000 + desk.number(), 0, 1, None, desk.clock + 3.0, 0, False)
+        desk.wait(0.1)
+        if one.relays and not one.relays[0].ended:
+            one.relay_ended(0, Outcome.HANDLED, True, 0.1, ())
+    assert not flows[-1].stuck
+
+
+def test_what_is_given_up_of_a_stuck_flow_is_denied_at_once_and_told_when_to_come_back() -> None:
+    desk = Desk(builds=(1, 1))
+    desk.umpire.flows[0].stuck, desk.umpire.window = True, 0.1
+    given_up = [desk.take(0) for _ in range(20)]
+    assert set(given_up) <= set(desk.denied) and not desk.relays
+    assert desk.take(1) not in desk.denied
+
+
+def test_overload_is_no_flows_doing() -> None:
+    desk = Desk(builds=(1, 1), tenant_shares=(0.5, 0.5))
+    for at in range(200):
+        desk.umpire.window = 4.0
+        desk.umpire.take(at, at % 2, at // 2 % 2, None, desk.clock + 3.0, 0, False)
+        for relay in list(desk.umpire.open):
+            relay.transaction.relay_ended(relay.transaction.relays.index(relay), Outcome.HANDLED, True, 2.0, ())
+        desk.wait(0.1)
+    assert not any(f.stuck for f in desk.umpire.flows)
