--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -210,15 +210,18 @@
 
 
 class Relay:
+    judged = False  # whether it has told on its flows
+
     def __init__(self, transaction: Transaction, server: Server, at: float) -> None:
         self.transaction, self.server, self.at = transaction, server, at
         self.build, self.zone, self.cell = server.build, server.zone, server.cell  # as they were when sent
         self.ended, self.may_have_run, self.old_enough = False, True, at - server.since >= YOUNG
-        self.judged = False  # whether it has told on its flows
         self.opened = server.heard_at < at - transaction.umpire.charter.idle_for
 
 
 class Transaction:
+    flows: Sequence[Flow] = ()
+
     def __init__(self, umpire: Umpire, number: int, product: int, tenant: int, until: float, key: int,
                  again: bool) -> None:
         self.umpire, self.number, self.until, self.key, self.again = umpire, number, until, key, again
@@ -229,7 +232,7 @@
 
     @property
     def stuck(self) -> bool:
-        return self.flows[0].stuck or self.flows[1].stuck
+        return any(f.stuck for f in self.flows)
 
     @property
     def finished(self) -> bool:
@@ -453,13 +456,13 @@
 
 class Umpire:
     best_way = 0.0  # not known: so in a captured state from before it was kept
+    flows: Sequence[Flow] = ()  # made with the first transaction; so in such a state too
 
     def __init__(self, charter: Charter, host: Host, seed: int) -> None:
         self.charter, self.host, self.seed, self.draws, self.round = charter, host, seed, 0, 0
         self.servers, self.ready = list[Server](), list[Server]()
         self.waiting, self.open, self.keys = list[Transaction](), list[Relay](), dict[int, int]()
         self.usual, self.ways = [Pace(PRIOR * p.target) for p in charter.products], dict[int, Pace]()
-        self.flows = [Flow() for _ in range(len(charter.products) + max(1, len(charter.tenant_shares)))]
         self.allowances = [(Times(maxlen=KEPT), Times()) for _ in charter.products]  # taken, sent on trial
         self.window, self.taken, self.panel = WINDOW, Times(maxlen=KEPT), Panel(self)
         self.vote_spread = max(0.0, charter.umpires / max(1.0, charter.votes_per_s) - BURST)
@@ -534,7 +537,9 @@
 
     def take(self, number: int, product: int, tenant: int, effort: float | None, until: float, key: int,
              again: bool) -> Transaction:
-        tenant = min(tenant, len(self.flows) - len(self.usual) - 1)
+        tenants = max(1, len(self.charter.tenant_shares))
+        self.flows = self.flows or [Flow() for _ in range(len(self.usual) + tenants)]
+        tenant = min(tenant, tenants - 1)
         transaction = Transaction(self, number, product, tenant, until, key, again)
         for times in (self.allowance(transaction)[0], self.taken):
             times.append(self.host.clock)
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -426,9 +426,10 @@
 
 def test_what_is_given_up_of_a_stuck_flow_is_denied_at_once_and_told_when_to_come_back() -> None:
     desk = Desk(builds=(1, 1))
-    desk.umpire.flows[0].stuck, desk.umpire.window = True, 0.1
+    desk.take(0).relay_ended(0, Outcome.HANDLED, True, 0.1, ())
+    desk.umpire.flows[0].stuck, desk.umpire.window = True, 0.0
     given_up = [desk.take(0) for _ in range(20)]
-    assert set(given_up) <= set(desk.denied) and not desk.relays
+    assert set(given_up) <= set(desk.denied) and len(desk.relays) == 1
     assert desk.take(1) not in desk.denied
 
 
