Refused connections: few links kept, holds by the told share, no evidence from a crowd

Change: a refusal at once ends a link; while they come, idle links beyond two are closed (LetGo, now in Host, adapter, daemon and captures); as often as connects fail the draw is among linked servers. The charter gains connect_wait. 2. Change: no evidence while a fifth of an umpire's relays are refused or unreached.

--- a/stepsail/adapter/frames.py
+++ b/stepsail/adapter/frames.py
@@ -32,7 +32,7 @@
 GIVE_UP = Struct("<BHQ")
 WITHDRAW = Struct("<BHQH")
 DEFER = Struct("<BHdQ")
-SAMPLE = Struct("<BH6s")
+SAMPLE = LET_GO = Struct("<BH6s")
 PUBLISH = Struct("<BHHH")
 SAY = Struct("<BHH")
 KEEP_INFORMED = Struct("<BHB")
@@ -183,7 +183,7 @@
         guarded_stages=found.whole("Domain.ClosedStages"), one_way=found.flag("Domain.OneWay"),
         by_product=found.word("Domain.CountedBy") == "each_class", free=found.number("Domain.Uncounted"),
         window=found.span("Domain.CountedOverMs"), vote_life=found.span("Domain.VoteStandsMs"),
-        idle_for=found.span("Limits.ConnIdleMs"),
+        idle_for=found.span("Limits.ConnIdleMs"), connect_wait=found.span("Limits.ConnectTimeoutMs"),
         vote_wait=found.span("Domain.ApiTimeoutMs"), votes_per_s=found.number("Domain.VoteAllowance"),
         tenant_shares=tuple(found.number(f"Realms.{i}.Share") for i in tenants),
         tenant_quotas=tuple(found.number(f"Realms.{i}.QuotaPerS") for i in tenants))
--- a/stepsail/adapter/host.py
+++ b/stepsail/adapter/host.py
@@ -60,6 +60,9 @@
     def probe(self, server: ServerHandle) -> None:
         self.reply.add(frames.SAMPLE, 21, self.who, server.address)
 
+    def let_go(self, server: ServerHandle) -> None:
+        self.reply.add(frames.LET_GO, 22, self.who, server.address)
+
     def ask_roster(self) -> None:
         self.reply.add(frames.READ_LIST, 27, self.who)
 
--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -26,6 +26,8 @@
 GUESSES = (0.04, 0.12, 0.35, 0.75)  # excess shares that a build is tried for: rare faults to a failed product
 CLEAR, HELD, DOSE = 1.5, 4.5, 0.25  # s of a hold until it shows; in all; cap from which one hold is proof
 STUCK, SEEN, TRIED = (0.5, 0.25), 6, 0.05  # late shares from, until which; others seen; part of window to try
+LINKS, SQUEEZED = 2, 0.05  # connections kept idle while more than this share of connects is refused at once
+CROWDED, KEEN = 0.2, 0.08  # share of relays refused from which no build is judged; the part of the latest one
 OTHERS = 0.5  # least share of servers of earlier builds for a hold: fewer cannot do the work of all
 FADE = (3.0, 0.5, 0.8)  # s between fadings; what of the latest sample, and of a server's own, each leaves
 JUDGES, TELL_EVERY = 3, 1.0  # umpires that pool what all saw, as one or two may be cut off; s between words
@@ -134,6 +136,8 @@
 
 
 class Server:
+    refused_at = -inf  # when a connect last failed
+
     def __init__(self, umpire: Umpire, address: bytes) -> None:
         self.umpire, self.address = umpire, address
         self.state, self.zone, self.cell, self.build, self.round = Listed.GONE, 0, 0, 0, 0
@@ -160,10 +164,14 @@
     def weight(self) -> float:
         """Chance to be drawn, by warmth and way; while connects fail, less for one without connection."""
         umpire, charter = self.umpire, self.umpire.charter
-        unopened = umpire.connects.mean() if self.heard_at < umpire.host.clock - charter.idle_for else 0.0
+        unopened = 0.0 if self.linked() else umpire.connects.mean()
         far = 1 + CROSSING if charter.crossing_price and self.zone != charter.zone else 1.0
         return self.warmth() * (1 - unopened) / self.way() ** 2 / far
 
+    def linked(self) -> bool:
+        """Whether a connection to it is open, as far as is known: heard of since the idle time or a refusal."""
+        return self.heard_at > max(self.refused_at, self.umpire.host.clock - self.umpire.charter.idle_for)
+
     def cost(self) -> float:
         known = self.umpire.host.clock - self.heard_at < OLD_LOAD
         held = max(self.load + len(self.out) - self.open_then if known else 0.0, len(self.out))
@@ -216,7 +224,7 @@
         self.transaction, self.server, self.at = transaction, server, at
         self.build, self.zone, self.cell = server.build, server.zone, server.cell  # as they were when sent
         self.ended, self.may_have_run, self.old_enough = False, True, at - server.since >= YOUNG
-        self.opened = server.heard_at < at - transaction.umpire.charter.idle_for
+        self.opened = not server.linked()
 
 
 class Transaction:
@@ -284,8 +292,15 @@
         relay.server.out.remove(relay)
         umpire.open.remove(relay)
         relay.server.heard(report)
+        # A server that is lost, or slow to shake hands, lets the whole time for a connection pass.
+        refused = outcome is Outcome.UNREACHED and took < umpire.charter.connect_wait / 2
+        if refused:
+            relay.server.refused_at = umpire.host.clock
         if relay.opened:
             umpire.connects.add(outcome is Outcome.UNREACHED)
+            umpire.squeezed += (refused - umpire.squeezed) * KEEN
+        umpire.spare_links()
+        umpire.crowded += ((outcome in (Outcome.FULL, Outcome.UNREACHED)) - umpire.crowded) * KEEN
         fair = not umpire.was_away()
         if outcome is Outcome.HANDLED and fair and not self.stuck:
             self.usual.add(took)
@@ -301,7 +316,8 @@
         if spoke and fair and relay.server.way() < FAR and not self.stuck:
             umpire.widen(outcome is not Outcome.LATE and took <= self.product.target)
             share = took / self.product.abandon if outcome is Outcome.HANDLED else 1.0
-            if relay.old_enough:
+            # Guards against blaming a build for a crowd: where a late roster leaves few servers to go to.
+            if relay.old_enough and umpire.crowded < CROWDED:
                 umpire.panel.learn(relay.server, relay.build, self.product.index, bisect_left(EDGES, share))
         if outcome is Outcome.HANDLED and self.key and umpire.on_trial(relay.build):
             umpire.keys[self.key] = relay.build
@@ -415,22 +431,29 @@
             self.helped, self.sure_at = self.helped + helps, now + HELD * helps
             panel.calm, panel.lately = panel.calm if helps else merged([panel.lately]), {}
             return Verdict.BACK if helps and self.helped > (umpire.cap < DOSE) else Verdict.NONE
-        # Guards against a hold while nearly all are new servers: it denied all there was, for good.
-        olds = sum(s.build < self.build for s in umpire.ready)
-        can_hold = self.phase is Phase.TRIAL and olds >= OTHERS * len(umpire.ready)
+        can_hold = self.phase is Phase.TRIAL and self.can_be_held()
         self.held_at = now if everywhere > surely and can_hold else 0.0
         sound = (spread < LEAN and faults < surely / 2 and common < LEAN
                  and (everywhere < surely / 2 or not can_hold))
         enough = wide + around < TOLERANCE or max(n, sum(x.n for x in counted.values())) >= LEAST
         return Verdict.ON if settled and sound and enough and now >= self.sure_at else Verdict.NONE
 
+    def share(self) -> float:
+        shares = self.umpire.charter.shares
+        return shares[min(self.stage, len(shares) - 1)]
+
+    def can_be_held(self) -> bool:
+        """Guards against a hold while all, or soon all, are new servers: it denied all there was."""
+        ready, replaces = self.umpire.ready, self.umpire.charter.replaces
+        olds = sum(s.build < self.build for s in ready)
+        return olds >= OTHERS * len(ready) and (not replaces or self.share() <= 1 - OTHERS)
+
     def settled(self) -> bool:
         """Guards against an on too early: a stage's servers start, and are listed, one by one and late."""
         ready, charter, now = self.umpire.ready, self.umpire.charter, self.umpire.host.clock
         fresh = [s.since for s in ready if s.build == self.build]
         places = len(ready) - (0 if charter.replaces else len(fresh))
-        share = charter.shares[min(self.stage, len(charter.shares) - 1)]
-        complete = len(fresh) >= max(1, ceil(share * places - 1e-6)) or now - self.began >= MOST_START
+        complete = len(fresh) >= max(1, ceil(self.share() * places - 1e-6)) or now - self.began >= MOST_START
         return self.phase is Phase.TRIAL and complete and now - max(fresh, default=inf) >= PATIENT
 
     def reach(self, verdict: Verdict, heard: bool) -> None:
@@ -457,6 +480,7 @@
 class Umpire:
     best_way = 0.0  # not known: so in a captured state from before it was kept
     flows: Sequence[Flow] = ()  # made with the first transaction; so in such a state too
+    squeezed = crowded = 0.0  # shares lately: of connects, refused at once; of relays, refused or unreached
 
     def __init__(self, charter: Charter, host: Host, seed: int) -> None:
         self.charter, self.host, self.seed, self.draws, self.round = charter, host, seed, 0, 0
@@ -559,8 +583,7 @@
         guarded = told[0] < self.charter.guarded_stages and transaction.product.repeat is not Repeat.REDOABLE
         start, (taken, sent) = self.host.clock - self.charter.window, self.allowance(transaction)
         left = self.charter.free + told[1] * taken.since(start + SLIP) - sent.since(start - SLIP)
-        held = self.trial is not None and self.host.clock < self.trial.hold_until
-        held = held and sum(s.build < build for s in self.ready) >= OTHERS * len(self.ready)
+        held = self.trial and self.host.clock < self.trial.hold_until and self.trial.can_be_held()
         # Guards against a restart inside a window, of which its forgotten life may have used all.
         known = start >= self.began
         return known and not (guarded or held) and told[1] > 0 and left >= 1
@@ -584,10 +607,24 @@
     def pick(self, servers: Sequence[Server]) -> Server:
         """Two random choices of few servers, whose connections stay open; a cold one is never the better."""
         kept = max(FEWEST, self.taken.since(self.host.clock - self.charter.idle_for / 2)) / len(self.ready)
-        edges = list(accumulate(s.weight() for s in servers[:ceil(kept * len(servers)) + 1]))
+        linked = [s for s in servers if s.linked()]
+        if linked and self.chance() < self.connects.mean():  # others would be refused, or slow to open
+            servers = linked
+        else:
+            servers = servers[:ceil(kept * len(servers)) + 1]
+        edges = list(accumulate(s.weight() for s in servers))
         one, other = (servers[bisect_left(edges, self.chance() * edges[-1])] for _ in "12")
         return other if other.warm_at <= self.host.clock and other.cost() < one.cost() else one
 
+    def spare_links(self) -> None:
+        """Guards against servers that take few connections: idle ones of some kept all others out."""
+        if self.squeezed > SQUEEZED:
+            linked = sorted((s for s in self.ready if s.linked()), key=lambda s: -s.heard_at)
+            for server in linked[max(LINKS, 2 * len(self.open)):]:
+                if not server.out:
+                    server.refused_at = self.host.clock
+                    self.host.let_go(server)
+
     def widen(self, timely: bool) -> None:
         """Guards against overload: a congestion window, narrower by late answers, to one relay a server."""
         least = len(self.ready) / max(1, self.charter.umpires)
--- a/stepsail/capture/entries.py
+++ b/stepsail/capture/entries.py
@@ -49,6 +49,7 @@
     TELL_SEEN = 10  # neighbour, [(server, build, product, place)]
     TELL_FOUND = 11  # build, stage, verdict
     NOTE = 12  # text
+    LET_GO = 13  # server
 
 
 NAMES = {
@@ -65,7 +66,8 @@
     Asked.RELAY: ("number", "server", "until"), Asked.WITHDRAW: ("number", "relay"),
     Asked.DENY: ("number", "stay_away"), Asked.ERROR: ("number",), Asked.WAKE: ("after", "timer"),
     Asked.VOTE: ("build", "stage", "verdict"), Asked.PROBE: ("server",), Asked.ASK_LIST: (), Asked.WATCH_LIST: (),
-    Asked.TELL_SEEN: ("neighbour", "seen"), Asked.TELL_FOUND: ("build", "stage", "verdict"), Asked.NOTE: ("text",)}
+    Asked.TELL_SEEN: ("neighbour", "seen"), Asked.TELL_FOUND: ("build", "stage", "verdict"), Asked.NOTE: ("text",),
+    Asked.LET_GO: ("server",)}
 
 
 class Entry(NamedTuple):
--- a/stepsail/capture/replay.py
+++ b/stepsail/capture/replay.py
@@ -131,6 +131,9 @@
     def probe(self, server: Any) -> None:
         self.asked.append((7, self.numbers[id(server)]))
 
+    def let_go(self, server: Any) -> None:
+        self.asked.append((13, self.numbers[id(server)]))
+
     def ask_roster(self) -> None:
         self.asked.append((8,))
 
--- a/stepsail/capture/seam.py
+++ b/stepsail/capture/seam.py
@@ -230,6 +230,11 @@
         self.asked.append((7, recorded.number))
         self.host.probe(recorded)
 
+    def let_go(self, server: ServerHandle) -> None:
+        recorded = self.by_real[server]
+        self.asked.append((int(Asked.LET_GO), recorded.number))
+        self.host.let_go(recorded)
+
     def ask_roster(self) -> None:
         self.asked.append((int(Asked.ASK_LIST),))
         self.host.ask_roster()
--- a/stepsail/interface.py
+++ b/stepsail/interface.py
@@ -138,6 +138,7 @@
     votes_per_s: float
     tenant_shares: tuple[float, ...]
     tenant_quotas: tuple[float, ...]
+    connect_wait: float = 0.25  # what came later than the first captures has a default
 
 
 class ServerHandle(Protocol):
@@ -209,6 +210,8 @@
 
     def probe(self, server: ServerHandle) -> None: ...
 
+    def let_go(self, server: ServerHandle) -> None: ...
+
     def ask_roster(self) -> None: ...
 
     def watch_roster(self) -> None: ...
--- a/stepsail/umpire/host.py
+++ b/stepsail/umpire/host.py
@@ -66,6 +66,8 @@
 
     def probe(self, server: ServerHandle) -> None: ...
 
+    def let_go(self, server: ServerHandle) -> None: ...
+
     def vote(self, build: int, stage: int, verdict: Verdict) -> None: ...
 
     def ask_roster(self) -> None: ...
@@ -198,6 +200,9 @@
     def probe(self, server: ServerHandle) -> None:
         self.doers.probe(server)
 
+    def let_go(self, server: ServerHandle) -> None:
+        self.doers.let_go(server)
+
     def ask_roster(self) -> None:
         self.doers.ask_roster()
 
--- a/stepsail/umpire/life.py
+++ b/stepsail/umpire/life.py
@@ -56,6 +56,9 @@
     def probe(self, server: ServerHandle) -> None:
         self.nodes.probe(server)
 
+    def let_go(self, server: ServerHandle) -> None:
+        self.nodes.let_go(server)
+
     def vote(self, build: int, stage: int, verdict: Verdict) -> None:
         self.account.note(Kind.VOTE, build=build, stage=stage, verdict=verdict.name.lower(), why=self.host.last_note)
         self.conveyor.vote(build, stage, verdict)
--- a/stepsail/umpire/nodes.py
+++ b/stepsail/umpire/nodes.py
@@ -222,6 +222,12 @@
                 while node.idle and (node.idle[0].used_at < before or node.idle[0].stale()):
                     self._end(node, node.idle.popleft())
 
+    def let_go(self, server: ServerHandle) -> None:
+        """Close the idle connections to a server, so that it can take those of other umpires."""
+        node = self.node(server.address)
+        while node.idle:
+            self._end(node, node.idle.popleft())
+
     def probe(self, server: ServerHandle) -> None:
         """Ask a server for its load; with MOST_PROBES out, a further one is answered as unsent."""
         self.loop.spawn(self._probe, server, self.node(server.address).to, name="probe")
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -18,6 +18,7 @@
         "neighbours": False, "may_withdraw": True, "second_copies": False, "most_relays": 4,
         "longest_stay_away": 0.5, "must_ask": False, "report_columns": (), "reports_by_probe": False,
         "drain_grace": 0.5, "cold_from": 0.4, "cold_for": 4.0, "fall_multiple": 2.0, "idle_for": 15.0,
+        "connect_wait": 0.25,
         "control": Control.ANY,
         "replaces": False, "bake": 2.0, "shares": (0.1, 1.0), "caps": (0.2, 1.0), "guarded_stages": 1,
         "one_way": False, "by_product": False, "free": 2.0, "window": 3.0, "vote_life": 6.0, "vote_wait": 1.0,
@@ -35,6 +36,7 @@
         self.relays: list[tuple[Transaction, Server, float, float]] = []
         self.denied: list[Transaction] = []
         self.errored: list[Transaction] = []
+        self.let_go_of: list[Server] = []
         self.votes: list[tuple[int, int, Verdict]] = []
         self.timers: list[tuple[float, int, Callable[[], None]]] = []
         self.timers_set = 0
@@ -92,6 +94,9 @@
 
     def probe(self, server: Any) -> None: ...
 
+    def let_go(self, server: Any) -> None:
+        self.let_go_of.append(server)
+
     def ask_roster(self) -> None: ...
 
     def watch_roster(self) -> None: ...
