Judges tell of stuck products; keys go one way safely; holds by judges once servers are warm

Change: relays past their target are told to the judges, who tell all which products are stuck (tell_stuck, neighbour_stuck; also in daemon and captures); half an open relay a server tries a stuck flow, whatever the windows. Not where tenants are told, as words name none. 2. Now by judges, once the stage's servers are warm, and none in a stage after one in vain. 4. One way: keys answered after the release were not kept, keys of a withdrawn build still bound the next one. Now nothing goes to an earlier build once one is released, and keys are forgotten with their build.

--- a/stepsail/adapter/frames.py
+++ b/stepsail/adapter/frames.py
@@ -43,6 +43,7 @@
 SEEN_HEAD = Struct("<cd")  # an umpire's word to a judge: kind, sender's clock,
 SEEN = Struct("<6sHBB")  # and outcomes: server, build, product, bin,
 SEEN_MOST = (256 - SEEN_HEAD.size) // SEEN.size  # of which one message holds so many
+STUCK = Struct("<cd")  # a judge's word to all: kind, sender's clock, then the stuck products, a byte each
 FOUND = Struct("<cdHBB")  # a judge's word to all: kind, sender's clock, build, stage, verdict
 
 
--- a/stepsail/adapter/host.py
+++ b/stepsail/adapter/host.py
@@ -82,9 +82,12 @@
     def tell_found(self, build: int, stage: int, verdict: Verdict) -> None:
         self.tell(EVERYONE, frames.FOUND.pack(b"F", self.clock, build, stage, verdict))
 
+    def tell_stuck(self, products: Sequence[int]) -> None:
+        self.tell(EVERYONE, frames.STUCK.pack(b"K", self.clock) + bytes(products))
+
     def heard(self, neighbour: int, text: bytes) -> None:
         """Hands on what a neighbour said; what is heard twice, late or malformed is passed over."""
-        kind, layout = text[:1], {b"S": frames.SEEN_HEAD, b"F": frames.FOUND}.get(text[:1])
+        kind, layout = text[:1], {b"S": frames.SEEN_HEAD, b"F": frames.FOUND, b"K": frames.STUCK}.get(text[:1])
         if not layout or len(text) < layout.size or neighbour == self.me or neighbour not in self.neighbours:
             return
         _, at, *said = layout.unpack_from(text)
@@ -95,6 +98,9 @@
             if said[2] in tuple(Verdict):
                 self.umpire.neighbour_found(neighbour, said[0], said[1], Verdict(said[2]))
             return
+        if kind == b"K":
+            self.umpire.neighbour_stuck(neighbour, tuple(text[layout.size:]))
+            return
         whole = len(text) - (len(text) - layout.size) % frames.SEEN.size
         for address, build, product, place in frames.SEEN.iter_unpack(text[layout.size:whole]):
             if address in self.servers:
--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -19,13 +19,15 @@
 from stepsail.interface import Charter, Control, Group, Host, Listed, Outcome, Phase, Receipt, Repeat, Verdict
 
 EDGES = (0.02, 0.03, 0.045, 0.065, 0.09, 0.13, 0.18, 0.25, 0.35, 0.5, 0.75, 0.999)  # of abandon time: x1.4
-FAILED, CONTESTED = len(EDGES) - 1, 255  # the edge that only failed relays pass; bin of a wrong answer
+FAILED = len(EDGES) - 1  # the edge that only failed relays pass
+OVERDUE, CONTESTED = 254, 255  # in place of a bin: a relay still open after its target; a wrong answer
 LEVEL, MARGIN, TOLERANCE = 0.01, 0.15, 0.1  # the design's: chance of a false rejection, gaps for back, on
 LEAST, LEAN = 6, 1.0  # new-build outcomes that vote on, unless the log of the evidence against it is above
 SLOWER, FAULTS = 1.35, 0.004  # times that a good build's relays may take; share that fails on any build
 GUESSES = (0.04, 0.12, 0.35, 0.75)  # excess shares that a build is tried for: rare faults to a failed product
 CLEAR, HELD, DOSE = 1.5, 4.5, 0.25  # s of a hold until it shows; in all; cap from which one hold is proof
-STUCK, SEEN, TRIED = (0.5, 0.25), 6, 0.05  # late shares from, until which; others seen; part of window to try
+STUCK, SEEN, TRIED = (0.6, 0.3), 8, 0.5  # late shares from, until which; others seen; open ones a server
+STUCK_FOR, TOLD_FOR = 6.0, 2.5  # s that a flow stays stuck after it was found to be, or a judge has told so
 LINKS, SQUEEZED = 2, 0.05  # connections kept idle while more than this share of connects is refused at once
 CROWDED, KEEN = 0.2, 0.08  # share of relays refused from which no build is judged; the part of the latest one
 OTHERS = 0.5  # least share of servers of earlier builds for a hold: fewer cannot do the work of all
@@ -116,16 +118,27 @@
 class Flow:
     """One product's or one tenant's transactions, and whether they alone are late, wherever they are sent."""
 
-    def __init__(self) -> None:
-        self.own, self.rest, self.stuck = Pace(0.0), Pace(0.0), False
+    def __init__(self, umpire: Umpire) -> None:
+        self.umpire, self.own, self.rest = umpire, Pace(0.0), Pace(0.0)
+        self.found_until = self.told_until = 0.0
+
+    @property
+    def stuck(self) -> bool:
+        return max(self.found_until, self.told_until) > self.umpire.host.clock
+
+    def found(self) -> bool:
+        return self.found_until > self.umpire.host.clock
 
     def ended(self, mine: bool, late: bool) -> bool:
-        """Whether this ending shows the flow to be stuck."""
+        """Whether this ending shows the flow to be stuck; what is not found again and again is over."""
         (self.own if mine else self.rest).add(late)
-        before, late_share = self.stuck, self.own.mean()
-        alone = self.rest.n >= SEEN and late_share > max(STUCK[0], 2 * self.rest.mean())  # not in overload
-        self.stuck = late_share > STUCK[1] if before else alone
-        return self.stuck and not before
+        before, late_share = self.found(), self.own.mean()
+        alone = self.rest.n >= SEEN and late_share > max(STUCK[0], 3 * self.rest.mean())  # not in overload
+        if (mine and late and before) or (alone and not before):
+            self.found_until = self.umpire.host.clock + STUCK_FOR
+        elif late_share <= STUCK[1]:
+            self.found_until = 0.0
+        return self.found() and not before
 
 
 class Times(deque[float]):
@@ -169,7 +182,7 @@
         return self.warmth() * (1 - unopened) / self.way() ** 2 / far
 
     def linked(self) -> bool:
-        """Whether a connection to it is open, as far as is known: heard of since the idle time or a refusal."""
+        """Whether a connection is open, as far as is known: heard within the idle time, not refused since."""
         return self.heard_at > max(self.refused_at, self.umpire.host.clock - self.umpire.charter.idle_for)
 
     def cost(self) -> float:
@@ -313,13 +326,17 @@
             outcome is Outcome.LATE and relay.server.heard_at > relay.at)
         if spoke and fair and relay.server.way() < FAR:
             self.judge_flows(relay, outcome is Outcome.LATE or took > self.product.target)
+        share = took / self.product.abandon if outcome is Outcome.HANDLED else 1.0
+        if spoke and fair and relay.server.way() < FAR and self.stuck and umpire.charter.neighbours:
+            word = (relay.server, relay.build, self.product.index, bisect_left(EDGES, share))
+            umpire.panel.words.append(word)  # so that judges hear when it is over
         if spoke and fair and relay.server.way() < FAR and not self.stuck:
             umpire.widen(outcome is not Outcome.LATE and took <= self.product.target)
-            share = took / self.product.abandon if outcome is Outcome.HANDLED else 1.0
             # Guards against blaming a build for a crowd: where a late roster leaves few servers to go to.
             if relay.old_enough and umpire.crowded < CROWDED:
                 umpire.panel.learn(relay.server, relay.build, self.product.index, bisect_left(EDGES, share))
-        if outcome is Outcome.HANDLED and self.key and umpire.on_trial(relay.build):
+        binds = relay.build >= umpire.build + (umpire.phase is not Phase.TRIAL)
+        if outcome is Outcome.HANDLED and self.key and umpire.charter.one_way and binds:
             umpire.keys[self.key] = relay.build
         self.closed |= final
         if not self.closed and all(r.ended for r in self.relays):
@@ -335,6 +352,7 @@
             flows = [f for f in self.flows if f.stuck] or umpire.flows
             if any([f.ended(f in self.flows, late) for f in flows]):
                 umpire.panel.start_anew()
+                umpire.panel.tell_at = 0.0
 
     def client_left(self) -> None:
         self.closed = True
@@ -343,6 +361,8 @@
 class Panel:
     def __init__(self, umpire: Umpire) -> None:
         self.umpire, charter = umpire, umpire.charter
+        self.words: list[tuple[Server, int, int, int]] = []
+        self.tell_at: float = 0.0
         self.judges = sorted(range(charter.umpires), key=lambda number: crc32(b"%d" % number))[:JUDGES]
         self.pools = charter.neighbours and charter.me in self.judges
         # where any vote decides, false ones add up, and only judges, who know what all saw, say on
@@ -351,7 +371,7 @@
         self.goes_on = sure and charter.control is not Control.CLOCK
         self.level = LEVEL / (len(self.judges) if self.pools else voices)
         self.calm, self.lately, self.tallies = dict[int, Sample](), dict[int, Sample](), dict[int, Samples]()
-        self.words, self.tell_at, self.fade_at, self.new = list[tuple[Server, int, int, int]](), 0., 0., False
+        self.fade_at, self.new = 0.0, False
 
     def learn(self, server: Server, build: int, product: int, place: int, own: bool = True) -> None:
         trial = self.umpire.trial
@@ -379,6 +399,9 @@
         self.tell_at, self.words = umpire.host.clock + TELL_EVERY, []
         if self.pools and trial and trial.found:
             umpire.host.tell_found(trial.build, trial.stage, trial.found)
+        stuck = [at for at, flow in enumerate(umpire.flows[:len(umpire.usual)]) if flow.found()]
+        if self.pools and stuck:
+            umpire.host.tell_stuck(stuck)
 
     def fade(self) -> None:
         if self.umpire.host.clock >= self.fade_at:
@@ -390,6 +413,7 @@
 
 class Trial:
     verdict = found = Verdict.NONE
+    was_held = False  # in this stage, in vain
 
     def __init__(self, umpire: Umpire, build: int, stage: int, phase: Phase, began: float) -> None:
         self.umpire, self.build, self.stage, self.phase, self.began = umpire, build, stage, phase, began
@@ -428,11 +452,16 @@
             return Verdict.HOLD
         if self.held_at:  # what helps once may be a trouble that ended just then
             helps, self.held_at = everywhere < 0, 0.0
+            self.was_held = not helps
             self.helped, self.sure_at = self.helped + helps, now + HELD * helps
             panel.calm, panel.lately = panel.calm if helps else merged([panel.lately]), {}
             return Verdict.BACK if helps and self.helped > (umpire.cap < DOSE) else Verdict.NONE
-        can_hold = self.phase is Phase.TRIAL and self.can_be_held()
-        self.held_at = now if everywhere > surely and can_hold else 0.0
+        # Guards against holds by one umpire alone, which show nothing, and again and again in an overload,
+        # until one seems to help: one hold a stage, by those whose word all follow.
+        all_hold = panel.pools or not umpire.charter.neighbours
+        can_hold = self.phase is Phase.TRIAL and all_hold and not self.was_held and self.can_be_held()
+        # Guards against blaming a build for its cold servers: what they lack comes back as they get warm.
+        self.held_at = now if everywhere > surely and can_hold and settled else 0.0
         sound = (spread < LEAN and faults < surely / 2 and common < LEAN
                  and (everywhere < surely / 2 or not can_hold))
         enough = wide + around < TOLERANCE or max(n, sum(x.n for x in counted.values())) >= LEAST
@@ -530,6 +559,9 @@
             self.panel.calm, self.panel.lately = self.panel.lately, {}
         self.build, self.stage, self.phase, self.cap = build, stage, phase, cap
         if moved:
+            # One whose build has gone back may go anywhere; so may all once the next build is offered.
+            kept = build + (phase is not Phase.TRIAL)
+            self.keys = {key: b for key, b in self.keys.items() if b >= kept}
             known = self.trial is not None and self.trial.build == build
             fresh = Trial(self, build, stage, phase, self.host.clock - age)
             self.trial = fresh if phase is Phase.TRIAL or (known and phase is Phase.RELEASED) else None
@@ -551,8 +583,31 @@
             self.panel.new = True
 
     def neighbour_saw(self, server: Server, build: int, product: int, place: int) -> None:
-        if product < len(self.charter.products) and (place <= len(EDGES) or place == CONTESTED):
-            self.panel.learn(server, build, product, place, False)
+        if product < len(self.charter.products) and (place <= len(EDGES) or place >= OVERDUE):
+            self.judge_product(product, place)
+            if place != OVERDUE and not (self.flows and self.flows[product].stuck):
+                self.panel.learn(server, build, product, place, False)
+
+    def judge_product(self, product: int, place: int) -> None:
+        """What another umpire saw. It names no tenant: of several, one may make a product look stuck."""
+        told = self.charter.products[product]
+        if len(self.charter.tenant_shares) > 1 or 0 < place <= len(EDGES) and (
+                EDGES[place - 1] >= told.target / told.abandon):
+            return  # a late one was told of when it was overdue
+        flows = self.flows[:len(self.usual)]
+        stuck = [f for f in flows if f.found()]
+        if self.flows and any([f.ended(f is self.flows[product], place == OVERDUE) for f in stuck or flows
+                               if not stuck or f is self.flows[product]]):
+            self.panel.start_anew()
+            self.panel.tell_at = 0.0
+
+    def neighbour_stuck(self, neighbour: int, products: Sequence[int]) -> None:
+        """Guards against hundreds of umpires that must each lose a few before they find a stuck product."""
+        heard = neighbour in self.panel.judges
+        for flow in [f for at, f in enumerate(self.flows[:len(self.usual)]) if heard and at in products]:
+            if not flow.stuck:
+                self.panel.start_anew()
+            flow.told_until = self.host.clock + TOLD_FOR
 
     def neighbour_found(self, neighbour: int, build: int, stage: int, verdict: Verdict) -> None:
         known = neighbour in self.panel.judges and (build, stage) == (self.build, self.stage)
@@ -562,7 +617,7 @@
     def take(self, number: int, product: int, tenant: int, effort: float | None, until: float, key: int,
              again: bool) -> Transaction:
         tenants = max(1, len(self.charter.tenant_shares))
-        self.flows = self.flows or [Flow() for _ in range(len(self.usual) + tenants)]
+        self.flows = self.flows or [Flow(self) for _ in range(len(self.usual) + tenants)]
         tenant = min(tenant, tenants - 1)
         transaction = Transaction(self, number, product, tenant, until, key, again)
         for times in (self.allowance(transaction)[0], self.taken):
@@ -592,7 +647,9 @@
         now, tried = self.host.clock, [r.server for r in transaction.relays]
         ready = [s for s in self.ready if transaction.may_go(s)] if tried else self.ready
         if self.charter.one_way and self.phase in (Phase.TRIAL, Phase.RELEASED):
-            ready = [s for s in ready if s.build >= self.keys.get(transaction.key, 0)]
+            # Once it is released none goes back to an earlier build: so no key needs to be kept from then on.
+            least = self.build if self.phase is Phase.RELEASED else self.keys.get(transaction.key, 0)
+            ready = [s for s in ready if s.build >= least]
         ready = ([s for s in ready if s.rest_until <= now and s not in tried]
                  or [s for s in ready if s not in tried] or ready)
         trials = {b: self.may_expose(transaction, b) for b in {s.build for s in ready} if self.on_trial(b)}
@@ -639,7 +696,8 @@
     def tries(self, transaction: Transaction) -> bool:
         """A few of a stuck flow find out whether it still is: they hold places that all others need."""
         held = sum(r.transaction.stuck for r in self.open)
-        return bool(transaction.relays) or max(transaction.luck, held) < TRIED * self.window
+        part = TRIED * len(self.ready) / max(1, self.charter.umpires)
+        return bool(transaction.relays) or max(transaction.luck, held) < part
 
     def serve_waiting(self, whole: bool) -> None:
         """Guards against a look at all that wait after each relay: then only while there is room."""
@@ -669,6 +727,8 @@
             return  # one set earlier
         away, self.beat_at = self.was_away(), inf
         for relay in [r for r in self.open if not away and now > r.at + r.transaction.product.target]:
+            if not relay.judged and self.charter.neighbours and relay.server.way() < FAR:
+                self.panel.words.append((relay.server, relay.build, relay.transaction.product.index, OVERDUE))
             relay.transaction.judge_flows(relay, True)
         for server in [s for s in dict.fromkeys(r.server for r in self.open) if not away and s.stalled()]:
             server.rest(2)  # what it holds goes elsewhere where it may
--- a/stepsail/capture/entries.py
+++ b/stepsail/capture/entries.py
@@ -32,6 +32,7 @@
     SAW = 14  # server, build, product, place
     FOUND = 15  # neighbour, build, stage, verdict
     WOKEN = 16  # timer
+    STUCK = 17  # neighbour, products
 
 
 class Asked(IntEnum):
@@ -50,6 +51,7 @@
     TELL_FOUND = 11  # build, stage, verdict
     NOTE = 12  # text
     LET_GO = 13  # server
+    TELL_STUCK = 14  # products
 
 
 NAMES = {
@@ -62,12 +64,12 @@
     Told.ENDED: ("number", "relay", "outcome", "final", "took", "report"), Told.LEFT: ("number",),
     Told.PROBED: ("server", "took", "outcome", "report"), Told.CONTESTED: ("server", "product", "since"),
     Told.SAW: ("server", "build", "product", "place"), Told.FOUND: ("neighbour", "build", "stage", "verdict"),
-    Told.WOKEN: ("timer",),
+    Told.WOKEN: ("timer",), Told.STUCK: ("neighbour", "products"),
     Asked.RELAY: ("number", "server", "until"), Asked.WITHDRAW: ("number", "relay"),
     Asked.DENY: ("number", "stay_away"), Asked.ERROR: ("number",), Asked.WAKE: ("after", "timer"),
     Asked.VOTE: ("build", "stage", "verdict"), Asked.PROBE: ("server",), Asked.ASK_LIST: (), Asked.WATCH_LIST: (),
     Asked.TELL_SEEN: ("neighbour", "seen"), Asked.TELL_FOUND: ("build", "stage", "verdict"), Asked.NOTE: ("text",),
-    Asked.LET_GO: ("server",)}
+    Asked.LET_GO: ("server",), Asked.TELL_STUCK: ("products",)}
 
 
 class Entry(NamedTuple):
--- a/stepsail/capture/replay.py
+++ b/stepsail/capture/replay.py
@@ -92,6 +92,8 @@
             self.servers[v[0]].contested(v[1], v[2])
         elif kind is Told.SAW:
             umpire.neighbour_saw(self.servers[v[0]], *v[1:])
+        elif kind is Told.STUCK:
+            umpire.neighbour_stuck(v[0], tuple(v[1]))
         elif kind is Told.FOUND:
             umpire.neighbour_found(v[0], v[1], v[2], Verdict(v[3]))
         elif kind is Told.MEET:
@@ -146,6 +148,9 @@
     def tell_found(self, build: int, stage: int, verdict: Verdict) -> None:
         self.asked.append((11, build, stage, int(verdict)))
 
+    def tell_stuck(self, products: Sequence[int]) -> None:
+        self.asked.append((14, tuple(products)))
+
     def note(self, text: str) -> None:
         self.asked.append((12, text))
 
--- a/stepsail/capture/seam.py
+++ b/stepsail/capture/seam.py
@@ -181,6 +181,9 @@
         self.told(Told.FOUND, (neighbour, build, stage, int(verdict)), self.real.neighbour_found, neighbour, build,
                   stage, verdict)
 
+    def neighbour_stuck(self, neighbour: int, products: Sequence[int]) -> None:
+        self.told(Told.STUCK, (neighbour, tuple(products)), self.real.neighbour_stuck, neighbour, products)
+
     # -- as the host -------------------------------------------------------------------------------------
 
     def _transaction(self, real: TransactionHandle) -> RecordedTransaction:
@@ -252,6 +255,10 @@
         self.asked.append((11, build, stage, int(verdict)))
         self.host.tell_found(build, stage, verdict)
 
+    def tell_stuck(self, products: Sequence[int]) -> None:
+        self.asked.append((int(Asked.TELL_STUCK), tuple(products)))
+        self.host.tell_stuck(products)
+
     def note(self, text: str) -> None:
         self.asked.append((12, text))
         self.host.note(text)
--- a/stepsail/charter/orders.py
+++ b/stepsail/charter/orders.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from stepsail.charter.read import Faults, Reader, Tree
-from stepsail.charter.words import DOOR, LIMITS, RELEASE, SERVERS, WORDS, Word
+from stepsail.charter.words import DOOR, LIMITS, RELEASE, SAID_IN_SHAPE_2, SERVERS, WORDS, Word
 from stepsail.interface import Charter, Control, Group, Product, Repeat
 
 COLUMNS = {"queue": "q", "inflight": "rif", "util": "busy", "latency_ms": "lat_ms"}  # the module's names
@@ -80,15 +80,20 @@
 def read_orders(file: Path) -> Orders:
     """Raises Faults with everything that is wrong."""
     tree = Reader(WORDS).read(file)
-    _cross_check(tree)
+    cross_check(tree)
     if tree.faults:
         raise Faults(tree.faults)
     return _orders(tree, file)
 
 
-def _cross_check(tree: Tree) -> None:
+def cross_check(tree: Tree) -> None:
     """What no single word can be blamed for."""
     top = tree.values
+    for block, needed in SAID_IN_SHAPE_2.items() if top.get("shape", 1) == 2 else ():
+        missing = [name for name in needed if name not in top.get(block, {})]
+        if missing:
+            tree.complain(tree.at(block), f"missing in {block}: {', '.join(missing)}; with 'shape 2' none is taken "
+                          "by default")
     if top["zone"] not in top["zones"]:
         tree.complain(tree.at("zone"), f"'{top['zone']}' is none of the zones {', '.join(top['zones'])}")
     if len(set(top["zones"])) < len(top["zones"]):
--- a/stepsail/charter/words.py
+++ b/stepsail/charter/words.py
@@ -230,7 +230,15 @@
     Word("subject-header", "Header that names what a transaction is about, for one-way releases.",
          (arg("name", "text"),), absent="Subject"))
 
+# With `shape 2` these are never taken by default: rules and votes hang on them, and deployments differ.
+SAID_IN_SHAPE_2 = {
+    "release": ("control", "replaces", "bake", "guarded-stages", "one-way", "count-by", "free", "window", "vote-life",
+                "vote-wait", "votes-per-second"),
+    "servers": ("cold-from", "cold-for", "falls-at", "drain-grace", "idle", "connect-wait")}
+
 WORDS = (
+    Word("shape", "1: what is not said is taken by default. 2: all that rules and votes hang on is said; "
+         "see migration.md.", (arg("version", "whole", minimum=1, maximum=2),), absent=1),
     Word("umpire", "This umpire's number, from 0, and how many there are.", (
         arg("number", "whole"), arg("count", "whole", keyword="of", minimum=1, maximum=100000)), needed=True),
     Word("zones", "All zones, by name.", (arg("names", "text", rest=True),), needed=True),
--- a/stepsail/cli/main.py
+++ b/stepsail/cli/main.py
@@ -23,6 +23,8 @@
 from stepsail.balance import Umpire
 from stepsail.charter import Faults, read_orders
 from stepsail.charter import reference as reference_page
+from stepsail.charter.move import moved, put
+from stepsail.charter.words import KINDS
 from stepsail.cli import captures, logs, trails
 from stepsail.emulate.clockwork import Stuck
 from stepsail.emulate.play import play
@@ -128,6 +130,42 @@
                f"{len(charter.shares)} stages")
 
 
+@main.command()
+@click.argument("old", type=FILE)
+@click.option("--out", type=click.Path(dir_okay=False, path_type=Path), help="The new file; needed unless --dry-run.")
+@click.option("--dry-run", is_flag=True, help="Print the new text and what is told of it; write nothing.")
+@click.option("--force", is_flag=True, help="Overwrite the new file if it is there.")
+@click.option("--one-way", type=click.Choice(["yes", "no"]), help="Decide 'release one-way'.")
+@click.option("--drain-grace", help="Decide 'servers drain-grace', such as 250ms.")
+def migrate(old: Path, out: Path | None, dry_run: bool, force: bool, one_way: str | None,
+            drain_grace: str | None) -> None:
+    """Write the counterpart of an old file of settings for the new shape, and tell what needs a decision."""
+    if out is None and not dry_run:
+        raise click.UsageError("say where the new file goes: --out FILE, or --dry-run to write nothing")
+    decided: dict[tuple[str, str], Any] = {}
+    try:
+        if one_way is not None:
+            decided["release", "one-way"] = KINDS["yes"](one_way)
+        if drain_grace is not None:
+            decided["servers", "drain-grace"] = KINDS["time"](drain_grace)
+    except ValueError as wanted:
+        raise click.BadParameter(f"'{drain_grace}' is not {wanted}", param_hint="--drain-grace") from None
+    try:
+        found = moved(old, (out or old).parent, decided)
+        for line in found.told:
+            click.echo(line, err=True)
+        if found.text and dry_run:
+            click.echo(found.text, nl=False)
+        elif found.text and out:
+            put(out, found.text, force)
+    except Faults as faults:
+        _tell_faults(faults)
+        sys.exit(MISUSED)
+    except OSError as trouble:
+        click.echo(f"{trouble.filename or out}: not written: {trouble.strerror or trouble}", err=True)
+        sys.exit(MISUSED)
+
+
 @main.command()
 def reference() -> None:
     """Print the reference page of the settings."""
--- a/stepsail/umpire/host.py
+++ b/stepsail/umpire/host.py
@@ -78,6 +78,8 @@
 
     def tell_found(self, build: int, stage: int, verdict: Verdict) -> None: ...
 
+    def tell_stuck(self, products: Sequence[int]) -> None: ...
+
 
 class Host:
     """Implements `interface.Host`."""
@@ -215,6 +217,9 @@
     def tell_found(self, build: int, stage: int, verdict: Verdict) -> None:
         self.doers.tell_found(build, stage, verdict)
 
+    def tell_stuck(self, products: Sequence[int]) -> None:
+        self.doers.tell_stuck(products)
+
     def note(self, text: str) -> None:
         self.last_note = text
         self.log.info("note", text=text)
--- a/stepsail/umpire/life.py
+++ b/stepsail/umpire/life.py
@@ -75,6 +75,9 @@
     def tell_found(self, build: int, stage: int, verdict: Verdict) -> None:
         self.neighbours.tell_found(build, stage, verdict)
 
+    def tell_stuck(self, products: Sequence[int]) -> None:
+        self.neighbours.tell_stuck(products)
+
     def stop(self) -> None:
         """Leave; a second call changes nothing."""
         self.stopped.set()
--- a/stepsail/umpire/neighbours.py
+++ b/stepsail/umpire/neighbours.py
@@ -13,7 +13,7 @@
 from stepsail.umpire.host import Host
 
 VERSION = 1
-SEEN, FOUND = "seen", "found"
+SEEN, FOUND, STUCK = "seen", "found", "stuck"
 MOST = 1200  # bytes in a datagram: under any common path's limit
 SEEN_MOST = 40  # outcomes in one; an address takes up to 22 bytes
 BURST, A_SECOND = 200, 100.0  # datagrams heard at once, and a second, from one neighbour, at most
@@ -47,6 +47,9 @@
     def tell_found(self, build: int, stage: int, verdict: Verdict) -> None:
         self._send(FOUND, sorted(self.orders.neighbours), build, stage, int(verdict))
 
+    def tell_stuck(self, products: Sequence[int]) -> None:
+        self._send(STUCK, sorted(self.orders.neighbours), list(products))
+
     def listen(self) -> None:
         while self.socket is not None:
             data, _ = self.socket.receive()
@@ -70,6 +73,8 @@
         if kind == FOUND:
             build, stage, verdict = (int(x) for x in rest)
             self.host.tell(self.host.umpire.neighbour_found, who, build, stage, Verdict(verdict))
+        elif kind == STUCK and len(rest[0]) <= len(self.orders.names):
+            self.host.tell(self.host.umpire.neighbour_stuck, who, tuple(int(x) for x in rest[0]))
         elif kind == SEEN and len(rest[0]) <= SEEN_MOST:
             for address, build, product, place in rest[0]:
                 server = self.host.servers.get(bytes(address))
--- a/tests/charter/test_settings.py
+++ b/tests/charter/test_settings.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 import pytest
+from helpers import GOOD
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -12,42 +13,6 @@
 from stepsail.charter import Faults, read_orders
 from stepsail.charter.grammar import Garbled, parse_line
 
-GOOD = """
-umpire 1 of 3          # this one
-zones hall-a hall-b
-zone hall-b
-listen 127.0.0.1:8080
-conveyor 127.0.0.1:9000
-roster 127.0.0.1:9001 asked keep last-list.json
-product lookup {
-    route GET /lookup
-    repeats redoable
-    target 750ms
-    abandon 3s
-    revenue 2
-}
-product record {
-    route POST /record
-    repeats labelled zone 10s
-    target 1.2s
-    abandon 5s
-    revenue 6
-}
-release {
-    stage 5% cap 8.5%
-    stage 100% cap 1
-    guarded-stages 1
-    votes-per-second 60
-    bake 1.5s
-}
-servers {
-    report answers queue
-    cold-from 31%
-    cold-for 4.9s
-}
-"""
-
-
 TOLD = [
     "umpire.conf:2:10: expected 'of', then its value: umpire NUMBER of COUNT",
     "umpire.conf:11:5: unknown word 'targte'; did you mean 'target'?",
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -8,6 +8,41 @@
 from stepsail.balance import Server, Transaction, Umpire
 from stepsail.interface import Charter, Control, Group, Phase, Product, Repeat, Verdict
 
+GOOD = """
+umpire 1 of 3          # this one
+zones hall-a hall-b
+zone hall-b
+listen 127.0.0.1:8080
+conveyor 127.0.0.1:9000
+roster 127.0.0.1:9001 asked keep last-list.json
+product lookup {
+    route GET /lookup
+    repeats redoable
+    target 750ms
+    abandon 3s
+    revenue 2
+}
+product record {
+    route POST /record
+    repeats labelled zone 10s
+    target 1.2s
+    abandon 5s
+    revenue 6
+}
+release {
+    stage 5% cap 8.5%
+    stage 100% cap 1
+    guarded-stages 1
+    votes-per-second 60
+    bake 1.5s
+}
+servers {
+    report answers queue
+    cold-from 31%
+    cold-for 4.9s
+}
+"""
+
 
 def charter(**changed: Any) -> Charter:
     facts: dict[str, Any] = {
@@ -36,6 +71,7 @@
         self.relays: list[tuple[Transaction, Server, float, float]] = []
         self.denied: list[Transaction] = []
         self.errored: list[Transaction] = []
+        self.stuck_told: list[list[int]] = []
         self.let_go_of: list[Server] = []
         self.votes: list[tuple[int, int, Verdict]] = []
         self.timers: list[tuple[float, int, Callable[[], None]]] = []
@@ -107,4 +143,7 @@
     def tell_found(self, build: int, stage: int, verdict: Verdict) -> None:
         self.found.append((build, stage, verdict))
 
+    def tell_stuck(self, products: Any) -> None:
+        self.stuck_told.append(list(products))
+
     def note(self, text: str) -> None: ...
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -12,7 +12,7 @@
 from stepsail.adapter import frames
 from stepsail.adapter.frames import Reply
 from stepsail.adapter.host import Instance
-from stepsail.balance import EDGES, FAILED, JUDGES, Sample, doubts, gap, radius
+from stepsail.balance import EDGES, FAILED, JUDGES, OVERDUE, Sample, Transaction, doubts, gap, radius
 from stepsail.interface import Control, Outcome, Phase, Receipt, Repeat, Verdict
 
 
@@ -425,9 +425,9 @@
 
 
 def test_what_is_given_up_of_a_stuck_flow_is_denied_at_once_and_told_when_to_come_back() -> None:
-    desk = Desk(builds=(1, 1))
+    desk = Desk(builds=(1, 1), umpires=10**6)
     desk.take(0).relay_ended(0, Outcome.HANDLED, True, 0.1, ())
-    desk.umpire.flows[0].stuck, desk.umpire.window = True, 0.0
+    desk.umpire.flows[0].found_until, desk.umpire.window = desk.clock + 9, 0.0
     given_up = [desk.take(0) for _ in range(20)]
     assert set(given_up) <= set(desk.denied) and len(desk.relays) == 1
     assert desk.take(1) not in desk.denied
@@ -474,3 +474,68 @@
     desk.umpire.crowded = 0.0
     desk.take(0).relay_ended(0, Outcome.HANDLED, True, 0.1, ())
     assert desk.umpire.panel.lately
+
+
+def test_judges_find_a_stuck_product_from_what_others_say_and_tell_all() -> None:
+    # At one transaction a second each of 400 umpires lost several before it knew; together they filled the servers.
+    quiet = Desk(builds=(1, 1), umpires=400, neighbours=True, may_withdraw=False)
+    judge = Desk(builds=(1, 1), umpires=400, neighbours=True, me=quiet.umpire.panel.judges[0])
+    late = quiet.take(0)
+    assert late.relays
+    quiet.wait(1.6)  # its target is 0.75 s, its client waits for 3
+    assert len(quiet.spoken) == JUDGES and quiet.spoken[0][1][0][3] == OVERDUE
+    judge.take(1).relay_ended(0, Outcome.HANDLED, True, 0.1, ())
+    for _ in range(12):
+        judge.umpire.neighbour_saw(judge.servers[0], 1, 0, OVERDUE)
+        judge.umpire.neighbour_saw(judge.servers[0], 1, 1, 3)
+    judge.wait(0.3)
+    assert judge.stuck_told == [[0]] and not judge.umpire.panel.lately.get(0)
+    stranger = next(n for n in range(400) if n not in quiet.umpire.panel.judges)
+    for neighbour, stuck in ((stranger, False), (judge.umpire.charter.me, True)):
+        quiet.umpire.neighbour_stuck(neighbour, (0, 77))
+        assert quiet.umpire.flows[0].stuck is stuck and not quiet.umpire.flows[1].stuck
+    quiet.wait(2.6)
+    assert not quiet.umpire.flows[0].stuck  # over, unless it is told again
+
+
+def test_with_several_tenants_words_of_others_make_no_product_stuck() -> None:
+    # A partner that waited everywhere had a whole product denied: what umpires say names no partner.
+    judge = Desk(builds=(1, 1), umpires=1, neighbours=True, tenant_shares=(0.5, 0.5))
+    judge.take(1).relay_ended(0, Outcome.HANDLED, True, 0.1, ())
+    for _ in range(12):
+        judge.umpire.neighbour_saw(judge.servers[0], 1, 0, OVERDUE)
+        judge.umpire.neighbour_saw(judge.servers[0], 1, 1, 3)
+    assert not any(f.stuck for f in judge.umpire.flows)
+
+
+def keyed(desk: Desk, key: int) -> Transaction:
+    return desk.umpire.take(desk.number(), 0, 0, None, desk.clock + 3.0, key, False)
+
+
+def test_a_key_goes_one_way_until_its_build_is_withdrawn() -> None:
+    desk = Desk(builds=(1, 1, 2, 2), one_way=True, guarded_stages=0, free=1000.0)
+    desk.news(2, 0, Phase.TRIAL, 1.0)
+    bound = set()
+    for key in range(1, 200):
+        one = keyed(desk, key)
+        build = one.relays[0].build
+        one.relay_ended(0, Outcome.HANDLED, True, 0.05, ())
+        bound |= {key} if build == 2 else set()
+        again = keyed(desk, key)
+        assert again.relays[0].build >= build
+        bound |= {key} if again.relays[0].build == 2 else set()
+        again.relay_ended(0, Outcome.HANDLED, True, 0.05, ())
+        desk.clock += 0.01
+    assert 40 < len(bound) < 160 and set(desk.umpire.keys) == bound
+    desk.news(2, 0, Phase.RELEASED, 1.0)
+    # A key answered after the release was not kept, and could go to a server that a late roster still listed.
+    assert not desk.umpire.keys
+    for key in range(200, 260):
+        one = keyed(desk, key)
+        assert one.relays[0].build == 2
+        one.relay_ended(0, Outcome.HANDLED, True, 0.05, ())
+    desk.news(2, 0, Phase.REVERTING, 0.0)
+    assert {keyed(desk, key).relays[0].build for key in range(200, 204)} == {1}
+    desk.umpire.window = 99.0
+    desk.news(3, 0, Phase.TRIAL, 0.1)  # what the withdrawn build answered binds nothing any more
+    assert keyed(desk, 5).relays
