--- a/stepsail/adapter/frames.py
+++ b/stepsail/adapter/frames.py
@@ -185,6 +185,7 @@
         by_product=found.word("Domain.CountedBy") == "each_class", free=found.number("Domain.Uncounted"),
         window=found.span("Domain.CountedOverMs"), vote_life=found.span("Domain.VoteStandsMs"),
         idle_for=found.span("Limits.ConnIdleMs"), connect_wait=found.span("Limits.ConnectTimeoutMs"),
+        warm_keys=found.flag("Domain.WarmKeys"),
         vote_wait=found.span("Domain.ApiTimeoutMs"), votes_per_s=found.number("Domain.VoteAllowance"),
         tenant_shares=tuple(found.number(f"Realms.{i}.Share") for i in tenants),
         tenant_quotas=tuple(found.number(f"Realms.{i}.QuotaPerS") for i in tenants))
--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -11,6 +11,7 @@
 from bisect import bisect_left
 from collections import deque
 from collections.abc import Sequence
+from heapq import nlargest
 from itertools import accumulate
 from math import ceil, exp, inf, log, sqrt
 from operator import add
@@ -28,6 +29,7 @@
 CLEAR, HELD, DOSE = 1.5, 4.5, 0.25  # s of a hold until it shows; in all; cap from which one hold is proof
 STUCK, SEEN, TRIED = (0.6, 0.3), 8, 0.5  # late shares from, until which; others seen; open ones a server
 STUCK_FOR, TOLD_FOR = 6.0, 2.5  # s that a flow stays stuck after it was found to be, or a judge has told so
+AT_HOME, LEAST_WEIGHT = 0.7, 1e-9  # of a home's cost at which another is as good; weight of the worst server
 LINKS, SQUEEZED = 2, 0.05  # connections kept idle while more than this share of connects is refused at once
 CROWDED, KEEN = 0.2, 0.08  # share of relays refused from which no build is judged; the part of the latest one
 OTHERS = 0.5  # least share of servers of earlier builds for a hold: fewer cannot do the work of all
@@ -659,11 +661,24 @@
         if transaction.luck * len(self.ready) > COLD_PART * self.charter.fall_multiple * (part + rest):
             news, olds = ([s for s in side if s.warm_at <= now] for side in (news, olds))
         side = news if news and (not olds or self.chance() * (part + rest) < part) else olds
-        return self.pick(side) if side else None
-
-    def pick(self, servers: Sequence[Server]) -> Server:
-        """Two random choices of few servers, whose connections stay open; a cold one is never the better."""
-        kept = max(FEWEST, self.taken.since(self.host.clock - self.charter.idle_for / 2)) / len(self.ready)
+        return self.pick(side, transaction.key) if side else None
+
+    def homes(self, servers: Sequence[Server], key: int) -> list[Server]:
+        """The servers that all umpires send a key to, second and first: they work faster for keys met lately.
+        Highest random weight: servers that come and go move no other key."""
+        told = self.charter.report_columns and not self.charter.reports_by_probe  # else none looks crowded
+        if not (self.charter.warm_keys and told and key and self.chance() >= self.connects.mean()):
+            return []
+        word = b"%d." % key
+        draws = [(crc32(word + s.address) * crc32(s.address + word) % 2**32 + 1) / 2**32 for s in servers]
+        ranks = [log(draw) / max(LEAST_WEIGHT, s.weight()) for draw, s in zip(draws, servers, strict=True)]
+        return [servers[at] for at in reversed(nlargest(2, range(len(ranks)), key=ranks.__getitem__))]
+
+    def pick(self, servers: Sequence[Server], key: int = 0) -> Server:
+        """Two random choices of few servers, whose connections stay open; a cold one is never the better. A
+        key's homes are, while they are not crowded, and warm: one hot key could fell a cold one."""
+        now, homes = self.host.clock, self.homes(servers, key)
+        kept = max(FEWEST, self.taken.since(now - self.charter.idle_for / 2)) / len(self.ready)
         linked = [s for s in servers if s.linked()]
         if linked and self.chance() < self.connects.mean():  # others would be refused, or slow to open
             servers = linked
@@ -671,7 +686,10 @@
             servers = servers[:ceil(kept * len(servers)) + 1]
         edges = list(accumulate(s.weight() for s in servers))
         one, other = (servers[bisect_left(edges, self.chance() * edges[-1])] for _ in "12")
-        return other if other.warm_at <= self.host.clock and other.cost() < one.cost() else one
+        best = other if other.warm_at <= now and other.cost() < one.cost() else one
+        for home in homes:
+            best = home if home.warm_at <= now and AT_HOME * home.cost() <= best.cost() else best
+        return best
 
     def spare_links(self) -> None:
         """Guards against servers that take few connections: idle ones of some kept all others out."""
--- a/stepsail/charter/orders.py
+++ b/stepsail/charter/orders.py
@@ -51,6 +51,7 @@
     slow_sender: float
     tenant_header: str
     subject_header: str
+    subject_secret: bytes
     leave_within: float
     log_form: str
     log_level: str
@@ -128,6 +129,9 @@
                           "the cap is under the stage's share of the fleet; its servers would stand idle")
     if top["release"].get("guarded-stages", 0) > len(stages):
         tree.complain(tree.at("release", "guarded-stages"), f"there are only {len(stages)} stages")
+    if top.get("servers", {}).get("warm-keys") and "subject-secret" not in top.get("door", {}):
+        tree.complain(tree.at("servers", "warm-keys"), "umpires agree on a subject's server only by a secret in "
+                      "common; add: door { subject-secret TEXT }")
     spoken: dict[int, int] = {}
     for at, one in enumerate(top.get("neighbours", {}).get("neighbour", [])):
         if one["number"] >= top["umpire"]["count"] or one["number"] in spoken:
@@ -159,7 +163,7 @@
         report_columns=tuple(COLUMNS[c] for c in report["columns"]),
         reports_by_probe=report["how"] == "probes", drain_grace=servers["drain-grace"],
         cold_from=servers["cold-from"], cold_for=servers["cold-for"], fall_multiple=servers["falls-at"],
-        idle_for=servers["idle"], connect_wait=servers["connect-wait"],
+        idle_for=servers["idle"], connect_wait=servers["connect-wait"], warm_keys=servers["warm-keys"],
         control=Control(release["control"]), replaces=release["replaces"],
         bake=release["bake"], shares=tuple(s["share"] for s in release["stage"]),
         caps=tuple(s["cap"] for s in release["stage"]), guarded_stages=release["guarded-stages"],
@@ -181,7 +185,8 @@
         top.get("seed"), servers["connections"], servers["connect-wait"], limits["answer-slack"],
         door["connections"], door["open"], door["head"], door["body"], door["hold"], door["idle"],
         door["slow-sender"],
-        door["tenant-header"], door["subject-header"], top.get("leave-within", 15.0),
+        door["tenant-header"], door["subject-header"], (door["subject-secret"] or "").encode(),
+        top.get("leave-within", 15.0),
         log.get("form", "json"), log.get("level", "info"),
         file.parent / trail["folder"] if "folder" in trail else None, trail["survives"], trail["when-full"],
         trail["commit-within"] if "folder" in trail else 0.0, trail["segment"], trail["reserve"],
--- a/stepsail/charter/words.py
+++ b/stepsail/charter/words.py
@@ -192,6 +192,8 @@
          absent=30.0),
     Word("connect-wait", "A connection not made by then counts as unreached.",
          (arg("time", "time", **TIME),), absent=0.25),
+    Word("warm-keys", "Whether a server works faster for subjects that it met lately; needs door subject-secret.",
+         (arg("yes", "yes"),), absent=False),
     Word("connections", "Most connections to one server; a relay beyond is not sent.",
          (arg("most", "whole", minimum=1, maximum=10000),), absent=256))
 
@@ -228,13 +230,15 @@
          (arg("time", "time", **TIME),), absent=10.0),
     Word("tenant-header", "Header that names a client's tenant.", (arg("name", "text"),), absent="Tenant"),
     Word("subject-header", "Header that names what a transaction is about, for one-way releases.",
-         (arg("name", "text"),), absent="Subject"))
+         (arg("name", "text"),), absent="Subject"),
+    Word("subject-secret", "What subjects are hashed with, the same at all umpires, so that they agree on the "
+         "server of a subject; absent: drawn at each start.", (arg("text", "text", minLength=16),)))
 
 # With `shape 2` these are never taken by default: rules and votes hang on them, and deployments differ.
 SAID_IN_SHAPE_2 = {
     "release": ("control", "replaces", "bake", "guarded-stages", "one-way", "count-by", "free", "window", "vote-life",
                 "vote-wait", "votes-per-second"),
-    "servers": ("cold-from", "cold-for", "falls-at", "drain-grace", "idle", "connect-wait")}
+    "servers": ("cold-from", "cold-for", "falls-at", "drain-grace", "idle", "connect-wait", "warm-keys")}
 
 WORDS = (
     Word("shape", "1: what is not said is taken by default. 2: all that rules and votes hang on is said; "
--- a/stepsail/experiment/baselines.py
+++ b/stepsail/experiment/baselines.py
@@ -20,14 +20,14 @@
 class RandomChoice(Umpire):
     """Any server, alike."""
 
-    def pick(self, servers: Sequence[Server]) -> Server:
+    def pick(self, servers: Sequence[Server], key: int = 0) -> Server:
         return servers[int(self.chance() * len(servers))]
 
 
 class TwoChoices(Umpire):
     """The one with fewer open relays of two drawn at random."""
 
-    def pick(self, servers: Sequence[Server]) -> Server:
+    def pick(self, servers: Sequence[Server], key: int = 0) -> Server:
         one, other = (servers[int(self.chance() * len(servers))] for _ in "12")
         return other if len(other.out) < len(one.out) else one
 
@@ -37,7 +37,7 @@
 
     turn = 0
 
-    def pick(self, servers: Sequence[Server]) -> Server:
+    def pick(self, servers: Sequence[Server], key: int = 0) -> Server:
         self.turn += 1
         return servers[self.turn % len(servers)]
 
--- a/stepsail/interface.py
+++ b/stepsail/interface.py
@@ -139,6 +139,7 @@
     tenant_shares: tuple[float, ...]
     tenant_quotas: tuple[float, ...]
     connect_wait: float = 0.25  # what came later than the first captures has a default
+    warm_keys: bool = False
 
 
 class ServerHandle(Protocol):
--- a/stepsail/umpire/door.py
+++ b/stepsail/umpire/door.py
@@ -42,7 +42,7 @@
         self.tenant_header = orders.tenant_header.lower().encode()
         self.subject_header = orders.subject_header.lower().encode()
         self.idle: dict[Stream, None] = {}
-        self.secret = os.urandom(16)
+        self.secret = orders.subject_secret[:64] or os.urandom(16)  # blake2b takes a key of 64 bytes at most
         routes = sorted(orders.routes, key=lambda r: -len(r.path))
         self.routes = [(r.method.encode(), r.path.encode(), r.product) for r in routes]
 
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from bisect import bisect_left
+from collections.abc import Sequence
 from math import isclose, log, sqrt
 from random import Random
+from typing import Any
 
 import pytest
 from helpers import Desk
@@ -539,3 +541,85 @@
     desk.umpire.window = 99.0
     desk.news(3, 0, Phase.TRIAL, 0.1)  # what the withdrawn build answered binds nothing any more
     assert keyed(desk, 5).relays
+
+
+def homes_of(desk: Desk, keys: Sequence[int]) -> list[bytes]:
+    found = []
+    for key in keys:
+        one = keyed(desk, key)
+        found.append(one.relays[0].server.address)
+        one.relay_ended(0, Outcome.HANDLED, True, 0.05, (0.0,))
+        desk.clock += 0.2
+    return found
+
+
+def test_umpires_that_never_speak_send_a_key_to_the_same_server() -> None:
+    shapes: Sequence[dict[str, Any]] = (
+        {"report_columns": ("q",), "warm_keys": True}, {"report_columns": ("q",)},
+        {"report_columns": ("q",), "reports_by_probe": True, "warm_keys": True})
+    for shape, agree in zip(shapes, (True, False, False), strict=True):
+        one, other = (homes_of(Desk(builds=(1,) * 12, seed=seed, me=seed % 3, **shape), range(1, 61))
+                      for seed in (3, 4))
+        same = sum(a == b for a, b in zip(one, other, strict=True))
+        assert same > 50 if agree else same < 20
+        assert len(set(one)) > 8  # and keys are spread
+
+
+def test_servers_that_come_and_go_move_no_other_key() -> None:
+    shape: dict[str, Any] = {"report_columns": ("q",), "warm_keys": True}
+    before = homes_of(Desk(builds=(1,) * 12, **shape), range(1, 61))
+    desk = Desk(builds=(1,) * 12, **shape)
+    desk.servers[5].listed(0, 0, 1, 0, 0.0, 1.0)
+    desk.umpire.roster_read(False, False)
+    after = homes_of(desk, range(1, 61))
+    gone = desk.servers[5].address
+    assert sum(a != b for a, b in zip(before, after, strict=True) if a != gone) <= 6 and gone not in after
+
+
+def test_a_hot_key_crowds_no_server_and_fells_no_cold_one() -> None:
+    # A key with a tenth of all traffic has one home for all umpires: nine times what a cold server can do.
+    desk = Desk(builds=(1,) * 12, report_columns=("q",), warm_keys=True)
+    home = keyed(desk, 7).relays[0].server
+    desk.umpire.window = 99.0
+    for _ in range(40):
+        keyed(desk, 7)
+    crowd = [s for _, s, _, _ in desk.relays]
+    assert crowd.count(home) < 20 and len(set(crowd)) > 4
+    cold = Desk(builds=(1,) * 12, report_columns=("q",), warm_keys=True)
+    twin = next(s for s in cold.servers if s.address == home.address)
+    twin.listed(0, 0, 1, 1, cold.clock, 1.0)
+    for _ in range(100):
+        keyed(cold, 7).relay_ended(0, Outcome.HANDLED, True, 0.05, (0.0,))
+    assert sum(s is twin for _, s, _, _ in cold.relays) <= 0.1 * 100
+
+
+@pytest.mark.parametrize(("judge", "start", "in_vain", "held"), [
+    (True, 0.0, False, True), (False, 0.0, False, False), (True, 99.5, False, False), (True, 0.0, True, False)])
+def test_only_a_judge_holds_once_servers_are_warm_and_not_again_in_vain(judge: bool, start: float, in_vain: bool,
+                                                                        held: bool) -> None:
+    # An overloaded day's good build went back: single umpires held, over and over, until one hold seemed to help.
+    judges = Desk(umpires=40, neighbours=True, control=Control.SHARE).umpire.panel.judges
+    me = judges[0] if judge else next(n for n in range(40) if n not in judges)
+    desk = Desk(builds=(1, 1, 2, 2), start=start, umpires=40, me=me, neighbours=True, control=Control.SHARE,
+                caps=(1.0, 1.0), shares=(0.5, 1.0), guarded_stages=0)
+    desk.news(2, 0, Phase.TRIAL, 1.0)
+    trial, panel = desk.umpire.trial, desk.umpire.panel
+    assert trial
+    trial.was_held = in_vain
+    for place, side in ((2, panel.calm), (7, panel.lately)):
+        for _ in range(400):
+            side.setdefault(0, Sample()).add(place)
+    panel.new = True
+    desk.wait(0.3)
+    assert bool(trial.held_at) is held
+
+
+def test_a_late_relay_told_of_while_overdue_counts_once() -> None:
+    # Told of when overdue and again when it ended, an overloaded product looked stuck: half of it was denied.
+    judge = Desk(builds=(1, 1), umpires=1, neighbours=True)
+    judge.take(1).relay_ended(0, Outcome.HANDLED, True, 0.1, ())
+    for _ in range(40):
+        for place in (OVERDUE, len(EDGES) - 1, 3, 3):  # a third is late
+            judge.umpire.neighbour_saw(judge.servers[0], 1, 0, place)
+        judge.umpire.neighbour_saw(judge.servers[0], 1, 1, 3)
+    assert not any(f.stuck for f in judge.umpire.flows) and judge.umpire.flows[0].own.mean() < 0.45
