--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -443,7 +443,9 @@
         counted = panel.tallies.get(self.build, {})
         common = doubts(earlier, counted, (FAILED,))
         surely = log(2 / panel.level)
-        if wide - around > MARGIN or (faults > surely and spread > 0) or (
+        # Guards against a stuck flow that fills the servers: others wait too, on the new build alone.
+        stuck = any(flow.stuck for flow in umpire.flows)
+        if (wide - around > MARGIN and not stuck) or (faults > surely and spread > 0) or (
                 common > log(2 / LEVEL) and faults > LEAN):
             umpire.host.note(f"back: gap {wide:.2f} ± {around:.2f}, faults {faults:.1f}, counts {common:.1f}")
             return Verdict.BACK
@@ -596,10 +598,10 @@
         if len(self.charter.tenant_shares) > 1 or 0 < place <= len(EDGES) and (
                 EDGES[place - 1] >= told.target / told.abandon):
             return  # a late one was told of when it was overdue
-        flows = self.flows[:len(self.usual)]
-        stuck = [f for f in flows if f.found()]
-        if self.flows and any([f.ended(f is self.flows[product], place == OVERDUE) for f in stuck or flows
-                               if not stuck or f is self.flows[product]]):
+        mine = self.flows[product] if self.flows else None  # one that is stuck says nothing on the others
+        others = [f for f in self.flows[:len(self.usual)] if not f.found()]
+        flows = [mine] if mine and mine.found() else others
+        if any([f.ended(f is mine, place == OVERDUE) for f in flows]):
             self.panel.start_anew()
             self.panel.tell_at = 0.0
 
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -623,3 +623,30 @@
             judge.umpire.neighbour_saw(judge.servers[0], 1, 0, place)
         judge.umpire.neighbour_saw(judge.servers[0], 1, 1, 3)
     assert not any(f.stuck for f in judge.umpire.flows) and judge.umpire.flows[0].own.mean() < 0.45
+
+
+def test_a_second_product_is_found_stuck_while_one_is() -> None:
+    # While one product was stuck no other could be found: the second filled all servers for twenty seconds.
+    judge = Desk(builds=(1, 1), umpires=1, neighbours=True)
+    judge.take(1).relay_ended(0, Outcome.HANDLED, True, 0.1, ())
+    for stuck in ((0,), (0, 1)):
+        for _ in range(24):
+            for product in range(3):
+                place = OVERDUE if product in stuck else 3
+                judge.umpire.neighbour_saw(judge.servers[0], 1, product, place)
+        assert [at for at, f in enumerate(judge.umpire.flows[:3]) if f.stuck] == list(stuck)
+
+
+def test_no_gap_sends_a_build_back_while_a_flow_is_stuck() -> None:
+    # A stuck product filled the servers just as the last stage began: a good build went back for the others' waits.
+    for stuck in (True, False):
+        desk = on_trial((2, 2))
+        desk.take(0).relay_ended(0, Outcome.HANDLED, True, 0.1, ())
+        trial = desk.umpire.trial
+        assert trial
+        for _ in range(300):
+            trial.before.setdefault(1, Sample()).add(2)
+            trial.all_before.setdefault(1, Sample()).add(2)
+            trial.fresh.setdefault(1, Sample()).add(8)
+        desk.umpire.flows[0].found_until = desk.clock + 9 * stuck
+        assert (trial.look(True) is Verdict.BACK) is not stuck
