The module read through: endings weighed in one place, less asked for each draw

Where a relay ends, the condition on its evidence stood three times, and is asked once. Own endings and neighbours' words repeated the same steps on flows: Umpire.weigh. The products' flows were sliced out in three places: product_flows. Which build binds a key stood twice: binds. Linked servers are listed only when the draw is among them, and overdue relays that were told of are not walked again at each beat. The comment on refused_at said less than it holds.

--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -151,7 +151,7 @@
 
 
 class Server:
-    refused_at = -inf  # when a connect last failed
+    refused_at = -inf  # when a connect was last refused at once, or idle links were let go
 
     def __init__(self, umpire: Umpire, address: bytes) -> None:
         self.umpire, self.address = umpire, address
@@ -243,7 +243,7 @@
 
 
 class Transaction:
-    flows: Sequence[Flow] = ()
+    flows: Sequence[Flow] = ()  # so in a captured state from before they were kept
 
     def __init__(self, umpire: Umpire, number: int, product: int, tenant: int, until: float, key: int,
                  again: bool) -> None:
@@ -327,18 +327,18 @@
         spoke = outcome in (Outcome.HANDLED, Outcome.ERRORED) or (  # a server lost or cut off blames no build
             outcome is Outcome.LATE and relay.server.heard_at > relay.at)
         if spoke and fair and relay.server.way() < FAR:
-            self.judge_flows(relay, outcome is Outcome.LATE or took > self.product.target)
-        share = took / self.product.abandon if outcome is Outcome.HANDLED else 1.0
-        if spoke and fair and relay.server.way() < FAR and self.stuck and umpire.charter.neighbours:
+            timely = outcome is not Outcome.LATE and took <= self.product.target
+            self.judge_flows(relay, not timely)
+            share = took / self.product.abandon if outcome is Outcome.HANDLED else 1.0
             word = (relay.server, relay.build, self.product.index, bisect_left(EDGES, share))
-            umpire.panel.words.append(word)  # so that judges hear when it is over
-        if spoke and fair and relay.server.way() < FAR and not self.stuck:
-            umpire.widen(outcome is not Outcome.LATE and took <= self.product.target)
-            # Guards against blaming a build for a crowd: where a late roster leaves few servers to go to.
-            if relay.old_enough and umpire.crowded < CROWDED:
-                umpire.panel.learn(relay.server, relay.build, self.product.index, bisect_left(EDGES, share))
-        binds = relay.build >= umpire.build + (umpire.phase is not Phase.TRIAL)
-        if outcome is Outcome.HANDLED and self.key and umpire.charter.one_way and binds:
+            if not self.stuck:
+                umpire.widen(timely)
+                # Guards against blaming a build for a crowd: where a late roster leaves few servers to go to.
+                if relay.old_enough and umpire.crowded < CROWDED:
+                    umpire.panel.learn(*word)
+            elif umpire.charter.neighbours:
+                umpire.panel.words.append(word)  # so that judges hear when it is over
+        if outcome is Outcome.HANDLED and self.key and umpire.binds(relay.build):
             umpire.keys[self.key] = relay.build
         self.closed |= final
         if not self.closed and all(r.ended for r in self.relays):
@@ -351,10 +351,7 @@
         window, rested servers and blamed builds, until next to nothing was relayed."""
         if not relay.judged:
             umpire, relay.judged = self.umpire, True
-            flows = [f for f in self.flows if f.stuck] or umpire.flows
-            if any([f.ended(f in self.flows, late) for f in flows]):
-                umpire.panel.start_anew()
-                umpire.panel.tell_at = 0.0
+            umpire.weigh([f for f in self.flows if f.stuck] or umpire.flows, self.flows, late)
 
     def client_left(self) -> None:
         self.closed = True
@@ -401,7 +398,7 @@
         self.tell_at, self.words = umpire.host.clock + TELL_EVERY, []
         if self.pools and trial and trial.found:
             umpire.host.tell_found(trial.build, trial.stage, trial.found)
-        stuck = [at for at, flow in enumerate(umpire.flows[:len(umpire.usual)]) if flow.found()]
+        stuck = [at for at, flow in enumerate(umpire.product_flows()) if flow.found()]
         if self.pools and stuck:
             umpire.host.tell_stuck(stuck)
 
@@ -564,8 +561,7 @@
         self.build, self.stage, self.phase, self.cap = build, stage, phase, cap
         if moved:
             # One whose build has gone back may go anywhere; so may all once the next build is offered.
-            kept = build + (phase is not Phase.TRIAL)
-            self.keys = {key: b for key, b in self.keys.items() if b >= kept}
+            self.keys = {key: b for key, b in self.keys.items() if self.binds(b)}
             known = self.trial is not None and self.trial.build == build
             fresh = Trial(self, build, stage, phase, self.host.clock - age)
             self.trial = fresh if phase is Phase.TRIAL or (known and phase is Phase.RELEASED) else None
@@ -598,17 +594,24 @@
         if len(self.charter.tenant_shares) > 1 or 0 < place <= len(EDGES) and (
                 EDGES[place - 1] >= told.target / told.abandon):
             return  # a late one was told of when it was overdue
-        mine = self.flows[product] if self.flows else None  # one that is stuck says nothing on the others
-        others = [f for f in self.flows[:len(self.usual)] if not f.found()]
-        flows = [mine] if mine and mine.found() else others
-        if any([f.ended(f is mine, place == OVERDUE) for f in flows]):
+        mine = self.product_flows()[product:product + 1]
+        found = [f for f in mine if f.found()]  # one that is stuck says nothing on the others
+        self.weigh(found or [f for f in self.product_flows() if not f.found()], mine, place == OVERDUE)
+
+    def product_flows(self) -> Sequence[Flow]:
+        return self.flows[:len(self.usual)]
+
+    def weigh(self, flows: Sequence[Flow], mine: Sequence[Flow], late: bool) -> None:
+        """Tell some flows of an ending; where one is found stuck by it, what was seen is nobody's doing."""
+        if any([f.ended(f in mine, late) for f in flows]):
             self.panel.start_anew()
             self.panel.tell_at = 0.0
 
     def neighbour_stuck(self, neighbour: int, products: Sequence[int]) -> None:
         """Guards against hundreds of umpires that must each lose a few before they find a stuck product."""
-        heard = neighbour in self.panel.judges
-        for flow in [f for at, f in enumerate(self.flows[:len(self.usual)]) if heard and at in products]:
+        if neighbour not in self.panel.judges:
+            return
+        for flow in [f for at, f in enumerate(self.product_flows()) if at in products]:
             if not flow.stuck:
                 self.panel.start_anew()
             flow.told_until = self.host.clock + TOLD_FOR
@@ -632,6 +635,10 @@
     def allowance(self, transaction: Transaction) -> tuple[Times, Times]:
         return self.allowances[transaction.product.index if self.charter.by_product else 0]
 
+    def binds(self, build: int) -> bool:
+        """Whether a build's answer keeps a key from earlier ones."""
+        return self.charter.one_way and build >= self.build + (self.phase is not Phase.TRIAL)
+
     def on_trial(self, build: int) -> bool:
         if self.build < 0:  # no news yet: whatever follows the earliest build listed may be on trial
             return build > min((s.build for s in self.ready), default=build)
@@ -681,9 +688,8 @@
         key's homes are, while they are not crowded, and warm: one hot key could fell a cold one."""
         now, homes = self.host.clock, self.homes(servers, key)
         kept = max(FEWEST, self.taken.since(now - self.charter.idle_for / 2)) / len(self.ready)
-        linked = [s for s in servers if s.linked()]
-        if linked and self.chance() < self.connects.mean():  # others would be refused, or slow to open
-            servers = linked
+        if any(s.linked() for s in servers) and self.chance() < self.connects.mean():
+            servers = [s for s in servers if s.linked()]  # others would be refused, or slow to open
         else:
             servers = servers[:ceil(kept * len(servers)) + 1]
         edges = list(accumulate(s.weight() for s in servers))
@@ -746,8 +752,9 @@
         if now < self.beat_at - SLIP / 2:
             return  # one set earlier
         away, self.beat_at = self.was_away(), inf
-        for relay in [r for r in self.open if not away and now > r.at + r.transaction.product.target]:
-            if not relay.judged and self.charter.neighbours and relay.server.way() < FAR:
+        overdue = [r for r in self.open if not r.judged and now > r.at + r.transaction.product.target]
+        for relay in overdue if not away else ():
+            if self.charter.neighbours and relay.server.way() < FAR:
                 self.panel.words.append((relay.server, relay.build, relay.transaction.product.index, OVERDUE))
             relay.transaction.judge_flows(relay, True)
         for server in [s for s in dict.fromkeys(r.server for r in self.open) if not away and s.stalled()]:
--- a/stepsail/cli/main.py
+++ b/stepsail/cli/main.py
@@ -143,9 +143,9 @@
     if out is None and not dry_run:
         raise click.UsageError("say where the new file goes: --out FILE, or --dry-run to write nothing")
     decided: dict[tuple[str, str], Any] = {}
+    if one_way is not None:
+        decided["release", "one-way"] = one_way == "yes"
     try:
-        if one_way is not None:
-            decided["release", "one-way"] = KINDS["yes"](one_way)
         if drain_grace is not None:
             decided["servers", "drain-grace"] = KINDS["time"](drain_grace)
     except ValueError as wanted:
