The umpire serves on the platform's sockets: one more entrance and exit of the same program

stepsail/platform speaks the platform's protocol on the loop, HTTP ends, pool, door and host that the daemon has; the wire's words of door and pool now stand behind two small seams (umpire/speech.py, umpire/wire.py), with the daemon's own words on one side and the platform's on the other. The settings of simulator and platform have one reading, charter/told.py. The module is untouched.

--- a/stepsail/adapter/frames.py
+++ b/stepsail/adapter/frames.py
@@ -1,12 +1,10 @@
-"""The wire codec: frames in, records out, and the settings text decoded into a Charter."""
+"""The wire codec: frames in, records out."""
 
 from __future__ import annotations
 
 from struct import Struct
 from typing import Any, BinaryIO
 
-from stepsail.interface import Charter, Control, Group, Product, Repeat
-
 HEADER = Struct("<Id")
 REPLY = Struct("<II")
 
@@ -121,71 +119,3 @@
 
     def frame(self) -> bytes:
         return REPLY.pack(self.count, REPLY.size + len(self.records)) + bytes(self.records)
-
-
-REPEATS = {"repeatable": Repeat.REDOABLE, "by_key": Repeat.LABELLED, "once": Repeat.IRREVERSIBLE}
-CONTROLS = {"first_voice": Control.ANY, "by_count": Control.SHARE, "automatic": Control.CLOCK}
-
-
-class Settings:
-    """The path=value pairs, with absent paths read as absent values."""
-
-    def __init__(self, text: str) -> None:
-        self.pairs = dict(line.split("=", 1) for line in text.splitlines() if "=" in line)
-
-    def word(self, path: str, absent: str = "") -> str:
-        return self.pairs.get(path, absent)
-
-    def number(self, path: str, absent: float = 0.0) -> float:
-        return float(self.pairs.get(path) or absent)
-
-    def span(self, path: str) -> float:
-        return self.number(path) / 1000.0
-
-    def whole(self, path: str) -> int:
-        return int(self.number(path))
-
-    def flag(self, path: str) -> bool:
-        return self.word(path) == "true"
-
-    def numbers(self, path: str) -> tuple[float, ...]:
-        return tuple(float(x) for x in self.word(path).split(",") if x)
-
-
-def _product(found: Settings, index: int) -> Product:
-    at = f"Lanes.{index}."
-    return Product(index, found.span(at + "PromiseMs"), found.span(at + "DeadlineMs"),
-                   found.number(at + "Worth"), found.number(at + "LateWorth"),
-                   REPEATS.get(found.word(at + "Idempotency"), Repeat.IRREVERSIBLE),
-                   Group(found.word(at + "DedupScope", "cell") or "cell"), found.span(at + "WindowMs"))
-
-
-def read_charter(text: str) -> Charter:
-    """Decode the settings an instance is started with; paths the module does not read are passed over."""
-    found = Settings(text)
-    tenants = range(found.whole("Realms.count"))
-    return Charter(
-        products=tuple(_product(found, i) for i in range(found.whole("Lanes.count"))),
-        me=found.whole("Me"), umpires=found.whole("Siblings"), zone=found.whole("MyZone"),
-        crossing_price=found.number("Tariffs.CrossZone"), probe_price=found.number("Tariffs.Probe"),
-        probing=found.flag("Limits.Probing"), neighbours=found.flag("Limits.Peers"),
-        may_withdraw=found.flag("Limits.Cancel"), second_copies=found.flag("Limits.SecondCopies"),
-        most_relays=found.whole("Limits.MaxAttempts"),
-        longest_stay_away=found.span("Limits.MaxRetryAfterMs") if found.flag("Limits.RetryAfter") else 0.0,
-        must_ask=found.word("RegistryMode") == "on_request",
-        report_columns=tuple(x for x in found.word("Stats.Columns").split(",") if x),
-        reports_by_probe=found.word("Stats.Source") == "probe",
-        drain_grace=found.span("Rules.StopSendingWithinMs"),
-        cold_from=found.number("Rules.ColdFrom"), cold_for=found.span("Rules.ColdMs"),
-        fall_multiple=found.number("Rules.FallMultiple", 1.0),
-        control=CONTROLS.get(found.word("Domain.DecidedBy"), Control.ANY),
-        replaces=found.word("Domain.ReplaceMode") == "replace", bake=found.span("Domain.BakeMs"),
-        shares=found.numbers("Domain.Shares") or (1.0,), caps=found.numbers("Domain.MostShares") or (0.0,),
-        guarded_stages=found.whole("Domain.ClosedStages"), one_way=found.flag("Domain.OneWay"),
-        by_product=found.word("Domain.CountedBy") == "each_class", free=found.number("Domain.Uncounted"),
-        window=found.span("Domain.CountedOverMs"), vote_life=found.span("Domain.VoteStandsMs"),
-        idle_for=found.span("Limits.ConnIdleMs"), connect_wait=found.span("Limits.ConnectTimeoutMs"),
-        warm_keys=found.flag("Domain.WarmKeys"),
-        vote_wait=found.span("Domain.ApiTimeoutMs"), votes_per_s=found.number("Domain.VoteAllowance"),
-        tenant_shares=tuple(found.number(f"Realms.{i}.Share") for i in tenants),
-        tenant_quotas=tuple(found.number(f"Realms.{i}.QuotaPerS") for i in tenants))
--- a/stepsail/adapter/host.py
+++ b/stepsail/adapter/host.py
@@ -9,6 +9,7 @@
 
 from stepsail.adapter import frames
 from stepsail.adapter.frames import Frame, Malformed, Reply
+from stepsail.charter.told import pairs_of_text, read_charter
 from stepsail.interface import (
     MakeUmpire,
     Outcome,
@@ -165,7 +166,7 @@
         found = self.instances[who] = Instance(who, self.frame.clock, self.reply)
 
         def start() -> None:
-            charter = frames.read_charter(text)
+            charter = read_charter(pairs_of_text(text))
             found.me, found.neighbours = charter.me, range(charter.umpires)
             found.umpire = self.make(charter, found, seed)
         self.guarded(who, start)
--- a/stepsail/charter/orders.py
+++ b/stepsail/charter/orders.py
@@ -2,73 +2,15 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 from stepsail.charter.read import Faults, Reader, Tree
+from stepsail.charter.shape import Address, Orders, Route
 from stepsail.charter.words import DOOR, LIMITS, RELEASE, SAID_IN_SHAPE_2, SERVERS, WORDS, Word
 from stepsail.interface import Charter, Control, Group, Product, Repeat
 
 COLUMNS = {"queue": "q", "inflight": "rif", "util": "busy", "latency_ms": "lat_ms"}  # the module's names
-Address = tuple[str, int]
-
-
-@dataclass(frozen=True, slots=True)
-class Route:
-    """What a method and the beginning of a path mean: the index of a product."""
-
-    method: str
-    path: str
-    product: int
-
-
-@dataclass(frozen=True, slots=True)
-class Orders:
-    """All that an umpire is told by its file. Times in seconds, sizes in bytes."""
-
-    charter: Charter
-    names: tuple[str, ...]
-    zones: tuple[str, ...]
-    tenants: tuple[str, ...]
-    routes: tuple[Route, ...]
-    listen: Address
-    conveyor: Address
-    roster: Address
-    roster_kept: Path | None
-    hears: Address | None
-    neighbours: dict[int, Address]
-    seed: int | None
-    server_connections: int
-    connect_wait: float
-    answer_slack: float
-    door_connections: int
-    most_open: int
-    most_head: int
-    most_body: int
-    hold: int
-    door_idle: float
-    slow_sender: float
-    tenant_header: str
-    subject_header: str
-    subject_secret: bytes
-    leave_within: float
-    log_form: str
-    log_level: str
-    trail: Path | None
-    trail_survives: str
-    trail_when_full: str
-    trail_commit: float
-    trail_segment: int
-    trail_reserve: int
-    trail_age: float
-    trail_size: int
-    capture: Path | None
-    capture_size: int
-    capture_segment: int
-    capture_age: float
-
-
 def _address(text: str) -> Address:
     host, port = text.rsplit(":", 1)
     return host, int(port)
--- /dev/null
+++ b/stepsail/charter/shape.py
@@ -0,0 +1,70 @@
+"""What a running umpire is told, whichever entrance told it: its Charter, and where its doors are."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+
+from stepsail.interface import Charter
+
+Address = tuple[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """What a method and the beginning of a path mean: the index of a product."""
+
+    method: str
+    path: str
+    product: int
+
+
+@dataclass(frozen=True, slots=True)
+class Orders:
+    """All that an umpire is told by its file. Times in seconds, sizes in bytes."""
+
+    charter: Charter
+    names: tuple[str, ...]
+    zones: tuple[str, ...]
+    tenants: tuple[str, ...]
+    routes: tuple[Route, ...]
+    listen: Address
+    conveyor: Address
+    roster: Address
+    roster_kept: Path | None
+    hears: Address | None
+    neighbours: dict[int, Address]
+    seed: int | None
+    server_connections: int
+    connect_wait: float
+    answer_slack: float
+    door_connections: int
+    most_open: int
+    most_head: int
+    most_body: int
+    hold: int
+    door_idle: float
+    slow_sender: float
+    tenant_header: str
+    subject_header: str
+    subject_secret: bytes
+    leave_within: float
+    log_form: str
+    log_level: str
+    trail: Path | None
+    trail_survives: str
+    trail_when_full: str
+    trail_commit: float
+    trail_segment: int
+    trail_reserve: int
+    trail_age: float
+    trail_size: int
+    capture: Path | None
+    capture_size: int
+    capture_segment: int
+    capture_age: float
+    most_links: int = 0  # connections to all servers together; 0: no bound but each server's own
+    link_rest: float = 0.0  # s that a connection rests before it is used again
+    link_life: float = 0.0  # s that one may be idle and still be used; 0: as long as the charter says
+    first_within: float = 0.0  # s from a client's connecting to its first whole request; 0: as for any other
+    spare_idle: float = 0.0  # s after which an idle client makes room for a new one, where none is left; 0: never
--- a/stepsail/http/inlet.py
+++ b/stepsail/http/inlet.py
@@ -36,6 +36,7 @@
         self.loop, self.stream, self.bounds = loop, stream, bounds
         self.reader = Reader(True, bounds)
         self.half_closed = False
+        self.first_by = loop.now() + bounds.first if bounds.first else 0.0
 
     def next(self) -> Request | None:
         """The next request; None when the client is done or idle. Raises BadMessage, OSError."""
@@ -44,7 +45,7 @@
             reader.reset()
         if reader.buffer:
             reader.feed(b"")
-        by, told = 0.0, False
+        by, told, self.first_by = self.first_by, False, 0.0
         while not reader.whole and not reader.flowing:
             if reader.begun and not by:
                 by = self.loop.now() + self.bounds.slow
@@ -55,8 +56,8 @@
                 data = b"" if self.half_closed else self.stream.read(
                     max(0.0, by - self.loop.now()) if by else self.bounds.idle)
             except TimedOut:
-                if by:
-                    raise BadMessage(408, f"a request took over {self.bounds.slow:g} s to arrive") from None
+                if reader.begun:
+                    raise BadMessage(408, "a request took too long to arrive") from None
                 return None
             if not data:
                 if reader.begun:
--- a/stepsail/http/message.py
+++ b/stepsail/http/message.py
@@ -35,6 +35,8 @@
     hold: int = 1 << 62
     idle: float = 60.0
     slow: float = 10.0
+    first: float = 0.0  # s from the opening to the first whole request; 0: as for any other
+    until_close: bool = True  # whether an answer without a length, which lasts until the close, is taken
 
 
 def find(headers: Headers, name: bytes) -> bytes | None:
--- a/stepsail/http/outlet.py
+++ b/stepsail/http/outlet.py
@@ -11,11 +11,15 @@
 
 @dataclass(slots=True)
 class Progress:
-    """Bytes of a request that this process's system took, of how many, and bytes of its answer."""
+    """Bytes of a request that this process's system took, of how many, and bytes of its answer.
+
+    `lay`: s that the last of an answer was here before this process came to read it.
+    """
 
     written: int = 0
     whole: int = 0
     read: int = 0
+    lay: float = 0.0
 
 
 class OutletFlow:
@@ -96,6 +100,7 @@
                 reader.feed(b"")
         finally:
             self.used_at = loop.now()
+        progress.lay = stream.waited()
         answer = reader.response_read()
         self.all_sent = progress.written == progress.whole and (flow is None or flow.done)
         if reader.whole:
--- a/stepsail/http/reader.py
+++ b/stepsail/http/reader.py
@@ -136,6 +136,8 @@
         if length is None:
             self.state, self.wire = CHUNKED, 0
         elif length < 0:
+            if not self.bounds.until_close:
+                raise BadMessage(400, "neither a length nor chunks")
             self.state = UNTIL_CLOSE
         elif length > self.bounds.body:
             raise BadMessage(413, f"a body of over {self.bounds.body} bytes")
--- a/stepsail/loop/stream.py
+++ b/stepsail/loop/stream.py
@@ -2,16 +2,18 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections.abc import Callable
 from typing import Any
 
 from stepsail.loop.driver import READ, WRITE, Address, Port
-from stepsail.loop.errors import Closed
+from stepsail.loop.errors import Closed, TimedOut
 from stepsail.loop.hub import Loop, Waiter
 
 CHUNK = 65536
 SHED_PAUSE = 0.05  # s after a connection was turned away for want of descriptors; without it accept spins
 BACKLOG = 1024
+ROOM_LOOK = 0.02  # s between looks whether a connection can make room, where none does so by itself
 
 
 class Stream:
@@ -109,9 +111,12 @@
 
 
 class Listener:
-    """Accepts streams and gives each to a task. Bound: `most` open at once; more wait in the backlog."""
+    """Accepts streams and gives each to a task. Bound: `most` open at once; more wait in the backlog, unless
+    `make_room` closes one of them."""
 
-    def __init__(self, loop: Loop, address: Address, most: int, backlog: int = BACKLOG) -> None:
+    def __init__(self, loop: Loop, address: Address, most: int, backlog: int = BACKLOG,
+                 make_room: Callable[[], bool] | None = None) -> None:
+        self.make_room = make_room
         self.loop, self.port, self.most = loop, loop.driver.listen(address, backlog), most
         self.address = self.port.name()
         self.open: dict[Stream, None] = {}  # in the order they came, which a replay of chance keeps
@@ -121,8 +126,13 @@
         """Accept until closed."""
         while not self.port.closed:
             if len(self.open) >= self.most:
+                if self.make_room and self.make_room():
+                    self.loop.pause()  # the one that was closed goes first
+                    continue
                 self.room = self.loop.waiter()
-                self.loop.park(self.room, f"one of {self.most} connections to end")
+                with contextlib.suppress(TimedOut):  # whoever may make room may do so later
+                    self.loop.park(self.room, f"one of {self.most} connections to end",
+                                   ROOM_LOOK if self.make_room else None)
                 continue
             try:
                 taken = self.port.accept()
--- /dev/null
+++ b/stepsail/platform/__main__.py
@@ -0,0 +1,50 @@
+"""`python -m stepsail.platform`: one umpire in the foreground, told all by its environment.
+
+Exit codes: 0 left after SIGTERM with all answered, 2 a configuration that cannot be used, 3 left with some
+unanswered, 4 an address that cannot be had or a failure of the program itself.
+"""
+
+from __future__ import annotations
+
+import gc
+import os
+import sys
+import time
+import traceback
+
+from stepsail.balance import Umpire
+from stepsail.loop import Loop, PollDriver
+from stepsail.platform.fields import Misfit
+from stepsail.platform.life import Life
+from stepsail.platform.logs import Lines
+from stepsail.platform.settings import Post, read_post
+
+YOUNGEST = 20_000  # objects between two looks of the collector at the youngest
+
+
+def main() -> int:
+    driver = PollDriver()
+    log = Lines(driver.now)
+
+    def read() -> Post:
+        return read_post(os.environ, time.time() - driver.now())
+    try:
+        post = read()
+    except Misfit as trouble:
+        print(f"stepsail: {trouble}", file=sys.stderr)
+        return 2
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(YOUNGEST, 20, 20)
+    loop = Loop(driver, log.warning)
+    try:
+        return int(loop.run(Life(loop, post, Umpire, log, read).run))
+    except Exception as trouble:
+        log.error("failed", error=repr(trouble), trace=traceback.format_exc())
+        return 4
+    finally:
+        driver.shutdown()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/stepsail/platform/door.py
@@ -0,0 +1,83 @@
+"""What clients ask in the platform's words, and how each final answer is put."""
+
+from __future__ import annotations
+
+import re
+
+from stepsail.charter import Orders
+from stepsail.http import Request, Response
+from stepsail.http.message import listed
+from stepsail.interface import Repeat
+from stepsail.platform import words
+from stepsail.umpire.host import Held
+from stepsail.umpire.speech import Asked
+
+TOKEN = re.compile(rb"[!-~]{1,128}")
+MILLISECONDS = re.compile(rb"[0-9]{1,9}")
+ONCE = (words.ID, words.TIME_LEFT, words.LABEL, words.AGAIN, words.EXTRAS)  # said twice, they contradict
+
+
+def extras(text: bytes) -> dict[str, str]:
+    """`name=value,name=value`; what is not in that form is passed over."""
+    return dict(pair.strip().split("=", 1) for pair in text.decode("latin-1").split(",") if "=" in pair)
+
+
+def _whole(text: str) -> int:
+    return int(text) if text.isdecimal() else 0
+
+
+class PlatformSpeech:
+    """The product is the first part of the path; a client that closes is gone; every one is answered."""
+
+    eof_leaves, silent_when_late, parts_with_the_bad = True, False, True
+
+    def __init__(self, orders: Orders) -> None:
+        self.orders = orders
+        self.products = {route.path.encode(): route for route in orders.routes}
+        self.ids: dict[bytes, Held] = {}  # of the transactions that are held; as many as those at most
+
+    def hears(self, request: Request, ready: bool) -> Asked | Response:
+        path = request.target.partition(b"?")[0]
+        if path == words.HEALTH:
+            return Response(200, [], b"ready\n") if ready and request.method == b"GET" else self.bad(503, "not ready")
+        route = self.products.get(b"/" + path[1:].partition(b"/")[0]) if path[:1] == b"/" else None
+        if route is None:
+            return self.bad(404, "no such product")
+        if request.method != route.method.encode():
+            return self.bad(405, f"this product takes {route.method}")
+        names = [name for name, _ in request.headers if name in ONCE]
+        if len(set(names)) < len(names):
+            return self.bad(400, "a header that may stand once stands twice")
+        told = dict(pair for pair in request.headers if pair[0] in ONCE)
+        product = self.orders.charter.products[route.product]
+        mark, left = told.get(words.ID, b""), told.get(words.TIME_LEFT, b"").strip()
+        if not TOKEN.fullmatch(mark) or mark in self.ids:
+            return self.bad(409 if mark in self.ids else 400, "no id, or one that is open")
+        if not MILLISECONDS.fullmatch(left):
+            return self.bad(400, "the time left is in whole milliseconds")
+        if product.repeat is Repeat.LABELLED and not TOKEN.fullmatch(told.get(words.LABEL, b"")):
+            return self.bad(400, "this product needs a label")
+        if request.method == b"GET" and (request.body or request.length):
+            return self.bad(400, "a body where none belongs")
+        if b"upgrade" in listed(request.headers, b"connection"):
+            return self.bad(400, "no other protocol is spoken here")
+        more = extras(told[words.EXTRAS]) if words.EXTRAS in told else {}
+        return Asked(route.product, min(product.abandon, int(left) / 1000.0),
+                     _whole(more.get(words.EXTRA_TENANT, "")), _whole(more.get(words.EXTRA_KEY, "")),
+                     words.AGAIN in told)
+
+    def took(self, request: Request, held: Held) -> None:
+        self.ids[request.header(words.ID) or b""] = held
+
+    def parted(self, held: Held) -> None:
+        self.ids.pop(held.request.header(words.ID) or b"", None)
+
+    def denied(self, held: Held) -> Response:
+        after = [(b"retry-after", b"%.3f" % held.stay_away)] if held.stay_away > 0 else []
+        return Response(503, after, b"denied: trying again is harmless\n")
+
+    def errored(self, held: Held, late: bool) -> Response:
+        return Response(504 if late else 502, [], b"errored: nothing is promised\n")
+
+    def bad(self, status: int, text: str) -> Response:
+        return Response(status, [], text.encode("latin-1", "replace") + b"\n")
--- /dev/null
+++ b/stepsail/platform/life.py
@@ -0,0 +1,117 @@
+"""An umpire's life on the platform: ready from the known list, moved by SIGHUP, ended by SIGTERM."""
+
+from __future__ import annotations
+
+import signal
+from collections.abc import Callable, Sequence
+
+from stepsail.interface import MakeUmpire, ServerHandle, Verdict
+from stepsail.loop import Event, Loop, Task
+from stepsail.platform.boxes import PlatformWire
+from stepsail.platform.deployer import Deployer
+from stepsail.platform.discovery import Discovery
+from stepsail.platform.door import PlatformSpeech
+from stepsail.platform.fields import Misfit
+from stepsail.platform.settings import Post
+from stepsail.umpire.door import Door
+from stepsail.umpire.host import Held, Host, Log
+from stepsail.umpire.ledger import NoLedger
+from stepsail.umpire.nodes import Nodes
+
+LOOK = 0.02  # s between looks whether all that was held is answered
+STILL_COMING = 0.6  # s after SIGTERM in which clients still connect
+READ_AGAIN, READS = 0.2, 10  # s until a file that could not be read is read again; how often
+
+
+class Life:
+    """One umpire on one loop. `reread` gives the configuration as it is now, or raises Misfit."""
+
+    def __init__(self, loop: Loop, post: Post, make: MakeUmpire, log: Log, reread: Callable[[], Post]) -> None:
+        self.loop, self.post, self.make, self.log, self.reread = loop, post, make, log, reread
+        orders = self.orders = post.orders
+        self.host = Host(loop, orders, log, False)
+        self.discovery = Discovery(loop, orders, self.host, log, post.discovery, post.ahead)
+        self.deployer = Deployer(loop, orders, self.host, log, post.deployer, orders.seed or 0)
+        self.nodes = Nodes(loop, orders, self.host, PlatformWire(orders, self.discovery.place, post.reports))
+        self.discovery.moved = self.nodes.let_go_of
+        self.door = Door(loop, orders, self.host, log, NoLedger(), PlatformSpeech(orders))
+        self.stopped = Event(loop)
+        self.moving: Task | None = None
+
+    # what the module asks of its host's doers; umpires have no way to speak to each other here
+    def relay(self, held: Held, server: ServerHandle, until: float) -> Task:
+        return self.nodes.relay(held, server, until)
+
+    def probe(self, server: ServerHandle) -> None:
+        self.nodes.probe(server)
+
+    def let_go(self, server: ServerHandle) -> None:
+        self.nodes.let_go(server)
+
+    def vote(self, build: int, stage: int, verdict: Verdict) -> None:
+        self.deployer.vote(build, stage, verdict)
+
+    def ask_roster(self) -> None:
+        self.discovery.ask()
+
+    def watch_roster(self) -> None:
+        self.discovery.watch()
+
+    def tell_seen(self, neighbour: int, seen: Sequence[tuple[ServerHandle, int, int, int]]) -> None: ...
+
+    def tell_found(self, build: int, stage: int, verdict: Verdict) -> None: ...
+
+    def tell_stuck(self, products: Sequence[int]) -> None: ...
+
+    def run(self) -> int:
+        """Serve until SIGTERM; 0 if all that was held has been answered, 3 if time ran out before."""
+        driver = self.loop.driver
+        for number in (signal.SIGTERM, signal.SIGINT):
+            driver.on_signal(number, self.stopped.set)
+        driver.on_signal(signal.SIGHUP, self.move)
+        self.host.start(self.make, self, self.orders.seed or 0)
+        self.discovery.recall(self.post.known)
+        if self.post.news is not None:
+            self.deployer.news(self.post.news)
+        self.deployer.listen()
+        if not self.orders.charter.must_ask:
+            self.discovery.watch()
+        sweep = self.loop.spawn(self.nodes.sweep, name="sweep", essential=True)
+        self.door.open()
+        self.door.ready = True
+        self.log.info("ready", listen="{}:{}".format(*self.orders.listen), servers=len(self.discovery.entries))
+        self.stopped.wait(why="a signal to stop")
+        return self._leave(sweep)
+
+    def move(self) -> None:
+        """SIGHUP: discovery and the platform may have other addresses."""
+        if self.moving is None or self.moving.done:
+            self.moving = self.loop.spawn(self._move, name="move")
+
+    def _move(self) -> None:
+        for _ in range(READS):
+            try:
+                post = self.reread()
+            except Misfit as trouble:
+                self.log.warning("settings_not_read", error=str(trouble)[:300])
+                self.loop.sleep(READ_AGAIN)
+                continue
+            self.log.info("moved", discovery="{}:{}".format(*post.discovery),
+                          deployer="{}:{}".format(*post.deployer))
+            self.discovery.move(post.discovery)
+            self.deployer.move(post.deployer)
+            return
+
+    def _leave(self, sweep: Task) -> int:
+        self.log.info("leaving", held=len(self.host.held))
+        self.door.close_soon()
+        self.loop.sleep(STILL_COMING)
+        self.door.leave()
+        listener = self.door.listener
+        with self.loop.timeout(self.orders.leave_within) as scope:
+            while (listener and listener.open) or any(not h.closed for h in self.host.held.values()):
+                self.loop.sleep(LOOK)
+        sweep.cancel()
+        left = sum(not h.closed for h in self.host.held.values())
+        self.log.info("left", taken=self.host.taken, unanswered=left, **self.host.counts)
+        return 3 if scope.expired else 0
--- a/stepsail/umpire/life.py
+++ b/stepsail/umpire/life.py
@@ -20,6 +20,8 @@
 from stepsail.umpire.neighbours import Neighbours
 from stepsail.umpire.nodes import Nodes
 from stepsail.umpire.roster import Roster
+from stepsail.umpire.speech import OwnSpeech
+from stepsail.umpire.wire import OwnWire
 
 LOOK = 0.02  # s between looks whether all that was held is answered
 FIRST_NEWS = 1.0  # s that a start waits for release control; without news it serves all the same
@@ -32,9 +34,9 @@
         self.loop, self.orders, self.make, self.log = loop, orders, make, log
         self.seed = orders.seed if orders.seed is not None else int.from_bytes(os.urandom(6), "big")
         self.host = Host(loop, orders, log, verbose)
-        self.nodes = Nodes(loop, orders, self.host)
+        self.nodes = Nodes(loop, orders, self.host, OwnWire(orders))
         self.account = Account(loop, orders, log)
-        self.door = Door(loop, orders, self.host, log, self.account)
+        self.door = Door(loop, orders, self.host, log, self.account, OwnSpeech(orders, self.host))
         self.conveyor = Conveyor(loop, orders, self.host, log, self.seed, self.account)
         self.roster = Roster(loop, orders, self.host, log, self.seed, self.account)
         self.neighbours = Neighbours(loop, orders, self.host)
--- a/stepsail/umpire/nodes.py
+++ b/stepsail/umpire/nodes.py
@@ -5,53 +5,25 @@
 import errno
 from collections import deque
 
-import msgspec
-
 from stepsail.charter import Orders
-from stepsail.charter.orders import Address
-from stepsail.http import BadMessage, Bounds, Outlet, Progress, Request, Response, encode_request
-from stepsail.http.message import Headers, encode_request_start, end_to_end
+from stepsail.charter.shape import Address
+from stepsail.http import BadMessage, Outlet, Progress, Response
 from stepsail.interface import Outcome, ServerHandle
 from stepsail.loop import Cancelled, Channel, Closed, Loop, Stream, Task, TimedOut
-from stepsail.umpire.endings import NOT_RUN, Close, outcome
+from stepsail.umpire.endings import Close
 from stepsail.umpire.host import Held, Host
+from stepsail.umpire.wire import Wire
 
 PARTS = 4  # parts of a large answer that may wait for a slow client
 SWEEP = 1.0  # s between looks at idle connections
-REPORT = b"endpoint-load-metrics"  # ORCA's header; the text form is `TEXT name=value, …`
-ORCA_NAMES = {"q": "named_metrics.queue", "rif": "named_metrics.inflight", "busy": "cpu_utilization",
-              "lat_ms": "named_metrics.latency_ms"}
-OURS = (b"host", b"request-timeout")  # headers that each hop writes anew
-MOST_REPORT = 2000  # bytes of a load report that are read
-PROBE_TARGET, PROBE_WITHIN, MOST_PROBES = b"/.stepsail/load", 0.25, 64  # path; s; probes at once
-
-
-def read_report(headers: Headers, columns: tuple[str, ...]) -> tuple[float, ...]:
-    """The values of a load report by the charter's columns; empty unless all are there and are numbers."""
-    if not columns:
-        return ()
-    text = next((value for name, value in headers if name == REPORT), b"")[:MOST_REPORT].decode("latin-1")
-    form, _, rest = text.partition(" ")
-    values: dict[str, float] = {}
-    try:
-        if form == "JSON":
-            found = msgspec.json.decode(rest, type=dict[str, float | dict[str, float]])
-            for key, value in found.items():
-                inner = value.items() if isinstance(value, dict) else ()
-                values |= {key: value} if isinstance(value, float) else {f"{key}.{k}": v for k, v in inner}
-        elif form == "TEXT":
-            values = {k.strip(): float(v) for k, v in (part.split("=", 1) for part in rest.split(","))}
-        return tuple(values[ORCA_NAMES[c]] for c in columns)
-    except (ValueError, KeyError, msgspec.MsgspecError):
-        return ()
+PROBE_WITHIN, MOST_PROBES = 0.25, 64  # s; probes at once
 
 
 class Node:
     """The connections to one server: idle ones, latest used last, and how many there are in all."""
 
-    def __init__(self, address: bytes) -> None:
-        host, port = address.decode().rsplit(":", 1)
-        self.address, self.to = address, (host, int(port))
+    def __init__(self, address: bytes, to: Address) -> None:
+        self.address, self.to = address, to
         self.idle: deque[Outlet] = deque()
         self.open = 0
 
@@ -71,45 +43,43 @@
 
 
 class Nodes:
-    """Bounds: `connections` to each server, in use or idle; idle ones end after `idle_for`."""
+    """Bounds: `server_connections` to each server, `most_links` to all; idle ones end after `idle_for`."""
 
-    def __init__(self, loop: Loop, orders: Orders, host: Host) -> None:
-        self.loop, self.orders, self.host = loop, orders, host
-        self.bounds = Bounds(orders.most_head, orders.most_body, orders.hold)
+    def __init__(self, loop: Loop, orders: Orders, host: Host, wire: Wire) -> None:
+        self.loop, self.orders, self.host, self.wire = loop, orders, host, wire
         self.nodes: dict[bytes, Node] = {}
-        self.via = b"1.1 umpire-%d" % orders.charter.me
-        self.probes, self.connects = 0, 0
+        self.probes, self.connects, self.links = 0, 0, 0
         self.streaming: dict[int, Outlet] = {}  # connections whose answers are being passed on
 
     def node(self, address: bytes) -> Node:
-        found = self.nodes.get(address)
-        if found is None:
-            found = self.nodes[address] = Node(address)
+        found, to = self.nodes.get(address), self.wire.place(address)[0]
+        if found is None or found.to != to:
+            if found is not None:
+                self._clear(found)
+            found = self.nodes[address] = Node(address, to)
         return found
 
     def relay(self, held: Held, server: ServerHandle, until: float) -> Task:
-        number = len(held.relays)
-        return self.loop.spawn(self._relay, held, number, self.node(server.address), until, name="relay")
+        number, node = len(held.relays), self.node(server.address)
+        mark = self.wire.place(server.address)[1]
+        return self.loop.spawn(self._relay, held, number, node, mark, until, name="relay")
 
-    def _relay(self, held: Held, number: int, node: Node, until: float) -> None:
+    def _relay(self, held: Held, number: int, node: Node, mark: object, until: float) -> None:
         start, progress = self.loop.now(), Progress()
         until = min(until, held.until)
         answer: Response | None = None
         try:
-            close, answer = self._exchange(held, node, until, progress)
+            close, answer = self._exchange(held, node, mark, until, progress)
         except Cancelled:
             close = Close.WITHDRAWN
         if close is Close.ANSWERED and answer and answer.flow:
             close = self._pass_on(held, number, node, answer, until)
-        says = answer is not None and any(name == NOT_RUN for name, _ in answer.headers)
-        ended = outcome(close, progress.written, answer.status if answer else 0, says)
-        report = read_report(answer.headers, self.orders.charter.report_columns) if answer else ()
+        ended = self.wire.ended(close, progress, answer)
+        report = self.wire.report(answer) if answer else ()
         if answer is not None and ended is Outcome.HANDLED and number != held.streams:
-            self._mark(answer, node)
-        self.host.relay_ended(held, number, ended, self.loop.now() - start, report, answer)
-
-    def _mark(self, answer: Response, node: Node) -> None:
-        answer.headers = [*end_to_end(answer.headers), (b"via", b"%s (%s)" % (self.via, node.address))]
+            answer.headers = self.wire.passed_on(answer, node.address)
+        took = max(0.0, self.loop.now() - start - progress.lay)
+        self.host.relay_ended(held, number, ended, took, report, answer)
 
     def _pass_on(self, held: Held, number: int, node: Node, answer: Response, until: float) -> Close:
         """A large answer goes to the client as it comes. From its first byte on it is the final answer; should
@@ -121,7 +91,7 @@
         try:
             if answer.status >= 500 or held.closed:
                 return Close.ANSWERED if answer.status >= 500 else Close.BROKE
-            self._mark(answer, node)
+            answer.headers = self.wire.passed_on(answer, node.address)
             answer.flow, held.streams = PartsFlow(parts), number
             held.close("handled", answer)
             while part := flow.more(max(0.0, until - loop.now())):
@@ -137,7 +107,7 @@
             self._put_back(node, outlet)
         return close
 
-    def _exchange(self, held: Held, node: Node, until: float,
+    def _exchange(self, held: Held, node: Node, mark: object, until: float,
                   progress: Progress) -> tuple[Close, Response | None]:
         """One relay. Only a connection on which not one byte was written is changed for another."""
         while True:
@@ -155,14 +125,14 @@
             if outlet is None:
                 return Close.NOT_BEGUN, None
             # The last look before the first byte: the client may have left, or another copy have answered,
-            # or this process have stood still, while the connection was made.
+            # or this process have stood still, or the server be told to drain, while the connection was made.
             now = self.loop.now()
-            if held.closed or now >= until:
+            if held.closed or now >= until or self.wire.place(node.address)[1] != mark:
                 self._put_back(node, outlet)
                 return Close.NOT_BEGUN, None
             fresh, kept, flow = outlet.fresh, False, held.request.flow
             try:
-                answer = outlet.exchange(self._encode(held.request, node, until - now), until, progress,
+                answer = outlet.exchange(self.wire.request(held.request, node.address, until - now), until, progress,
                                          held.request.method == b"HEAD", flow, held.request.length is None)
                 kept = answer.flow is not None
                 if kept:
@@ -178,59 +148,84 @@
                 if not kept:
                     self._put_back(node, outlet)
 
-    def _encode(self, request: Request, node: Node, left: float) -> bytes:
-        headers = [pair for pair in end_to_end(request.headers) if pair[0] not in OURS]
-        headers += [(b"host", node.address), (b"via", self.via), (b"request-timeout", b"%.3f" % left)]
-        if request.flow:
-            return encode_request_start(request.method, request.target, headers, request.body, request.length)
-        return encode_request(request.method, request.target, headers, request.body)
-
     def _outlet(self, node: Node, until: float) -> Outlet | None:
         """An idle connection or a new one; None where the bound is reached. Raises OSError, TimedOut."""
         while node.idle:
-            outlet = node.idle.pop()
-            if not outlet.stale():
+            # Guards against an answer with more behind it than belongs to it: what comes late shows in a moment.
+            at = len(node.idle) - 1
+            while at >= 0 and node.idle[at].used_at > self.loop.now() - self.orders.link_rest:
+                at -= 1
+            if at < 0 and self.orders.link_rest:
+                break
+            outlet = node.idle[at]
+            del node.idle[at]
+            if outlet.used_at >= self.loop.now() - self._life() and not outlet.stale():
                 return outlet
             self._end(node, outlet)
-        if node.open >= self.orders.server_connections:
+        most = self.orders.most_links
+        if node.open >= self.orders.server_connections or (most and self.links >= most and not self._make_room()):
             return None
         node.open += 1
+        self.links += 1
         self.connects += 1
         try:
             within = min(self.orders.connect_wait, until - self.loop.now())
-            return Outlet(self.loop, Stream.connect(self.loop, node.to, within), self.bounds)
+            return Outlet(self.loop, Stream.connect(self.loop, node.to, within), self.wire.bounds)
         except BaseException:
             node.open -= 1
+            self.links -= 1
             raise
 
+    def _life(self) -> float:
+        return self.orders.link_life or self.orders.charter.idle_for
+
+    def _make_room(self) -> bool:
+        """End the connection that has been idle longest, to any server; whether there was one."""
+        idle = [node for node in self.nodes.values() if node.idle]
+        if not idle:
+            return False
+        node = min(idle, key=lambda n: n.idle[0].used_at)
+        self._end(node, node.idle.popleft())
+        return True
+
     def _put_back(self, node: Node, outlet: Outlet) -> None:
-        if outlet.usable:
+        if outlet.usable and self.nodes.get(node.address) is node:
             node.idle.append(outlet)
         else:
             self._end(node, outlet)
 
     def _end(self, node: Node, outlet: Outlet) -> None:
         node.open -= 1
+        self.links -= 1
         outlet.close()
 
+    def _clear(self, node: Node) -> None:
+        while node.idle:
+            self._end(node, node.idle.popleft())
+
     def sweep(self) -> None:
         """Close what has been idle too long, for ever."""
         while True:
             self.loop.sleep(SWEEP)
-            before = self.loop.now() - self.orders.charter.idle_for
-            for node in self.nodes.values():
+            before = self.loop.now() - self._life()
+            for node in tuple(self.nodes.values()):
                 while node.idle and (node.idle[0].used_at < before or node.idle[0].stale()):
                     self._end(node, node.idle.popleft())
+                if not node.open:  # servers come and go under new names for ever
+                    del self.nodes[node.address]
 
     def let_go(self, server: ServerHandle) -> None:
         """Close the idle connections to a server, so that it can take those of other umpires."""
-        node = self.node(server.address)
-        while node.idle:
-            self._end(node, node.idle.popleft())
+        self.let_go_of(server.address)
+
+    def let_go_of(self, address: bytes) -> None:
+        found = self.nodes.get(address)
+        if found is not None:
+            self._clear(found)
 
     def probe(self, server: ServerHandle) -> None:
         """Ask a server for its load; with MOST_PROBES out, a further one is answered as unsent."""
-        self.loop.spawn(self._probe, server, self.node(server.address).to, name="probe")
+        self.loop.spawn(self._probe, server, self.wire.place(server.address)[0], name="probe")
 
     def _probe(self, server: ServerHandle, to: Address) -> None:
         start, progress, answer = self.loop.now(), Progress(), None
@@ -239,11 +234,10 @@
             self.probes += 1
             try:
                 close = Close.NO_CONNECTION
-                outlet = Outlet(self.loop, Stream.connect(self.loop, to, PROBE_WITHIN), self.bounds)
+                outlet = Outlet(self.loop, Stream.connect(self.loop, to, PROBE_WITHIN), self.wire.bounds)
                 close = Close.BROKE
                 try:
-                    head = [(b"host", server.address), (b"via", self.via)]
-                    answer = outlet.exchange(encode_request(b"GET", PROBE_TARGET, head), until, progress)
+                    answer = outlet.exchange(self.wire.probe(server.address), until, progress)
                     close = Close.ANSWERED
                 finally:
                     outlet.close()
@@ -253,6 +247,6 @@
                 pass
             finally:
                 self.probes -= 1
-        report = read_report(answer.headers, self.orders.charter.report_columns) if answer else ()
-        ended = outcome(close, progress.written, answer.status if answer else 0)
+        report = self.wire.probed(answer) if answer else ()
+        ended = self.wire.ended(close, progress, answer)
         self.host.tell(server.probed, self.loop.now() - start, ended, report)
--- a/tests/charter/test_settings.py
+++ b/tests/charter/test_settings.py
@@ -9,9 +9,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from stepsail.adapter.frames import read_charter
 from stepsail.charter import Faults, read_orders
 from stepsail.charter.grammar import Garbled, parse_line
+from stepsail.charter.told import pairs_of_text, read_charter
 
 TOLD = [
     "umpire.conf:2:10: expected 'of', then its value: umpire NUMBER of COUNT",
@@ -35,7 +35,7 @@
 
 def test_a_good_file_gives_the_charter_that_the_adapters_door_gives(tmp_path: Path) -> None:
     orders = read_orders(written(tmp_path, GOOD))
-    same = read_charter("\n".join((
+    same = read_charter(pairs_of_text("\n".join((
         "Lanes.count=2", "Lanes.0.PromiseMs=750", "Lanes.0.DeadlineMs=3000", "Lanes.0.Worth=2",
         "Lanes.0.Idempotency=repeatable", "Lanes.1.PromiseMs=1200", "Lanes.1.DeadlineMs=5000",
         "Lanes.1.Worth=6", "Lanes.1.Idempotency=by_key", "Lanes.1.DedupScope=zone", "Lanes.1.WindowMs=10000",
@@ -46,7 +46,7 @@
         "Domain.DecidedBy=first_voice", "Domain.BakeMs=1500",
         "Domain.Shares=0.05,1", "Domain.MostShares=0.085,1", "Domain.ClosedStages=1", "Domain.Uncounted=1",
         "Domain.CountedOverMs=4000", "Domain.VoteStandsMs=10000", "Domain.ApiTimeoutMs=800",
-        "Domain.VoteAllowance=60")))
+        "Domain.VoteAllowance=60"))))
     assert orders.charter == same
     assert orders.roster_kept == tmp_path / "last-list.json" and orders.names == ("lookup", "record")
     routes = [(r.method, r.path, r.product) for r in orders.routes]
