Spoilt answers are errors of a live server; slow servers without a queue close no window

Checked: a line each half second of what each umpire believed; each relay that failed, with server, build and time left; the state of all servers whenever one held more than six relays; the samples behind each back vote. Excluded: full servers (told queues of 0), the umpire's CPU (under 0.45 s in any second), connections (none refused). Causes: one spoilt answer rested its server for half a second (endings: BROKE for both), so that up to ten of twenty rested and the others were crowded; relays whose client left them 0.13 s counted as failures of the build (relay_ended); late answers narrowed the window though nothing queued (widen); after a hold in vain the slowness was the new usual and the build that caused it was voted on (look); a restarted umpire answered nothing for a window while all servers ran the trial (may_expose).

--- a/.ci/smoke.py
+++ b/.ci/smoke.py
@@ -38,7 +38,11 @@
                           input=frame(8000.0, start)[:-3])
     if torn.returncode == 0 or torn.stdout:
         raise SystemExit("smoke: a torn frame was answered")
-    print("smoke: one transaction relayed, a torn frame turned away")
+    bare = {"PATH": "/usr/bin:/bin"}
+    bad = subprocess.run(["/bin/sh", "-c", deploy["run"]], cwd=ROOT, capture_output=True, env=bare)
+    if bad.returncode != 2 or b"PROXY_CONFIG" not in bad.stderr:
+        raise SystemExit(f"smoke: run without a configuration gave {bad.returncode} {bad.stderr.decode()}")
+    print("smoke: one transaction relayed, a torn frame and a run without configuration turned away")
 
 
 if __name__ == "__main__":
--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -14,7 +14,6 @@
 from heapq import nlargest
 from itertools import accumulate
 from math import ceil, exp, inf, log, sqrt
-from operator import add
 from zlib import crc32
 
 from stepsail.interface import Charter, Control, Group, Host, Listed, Outcome, Phase, Receipt, Repeat, Verdict
@@ -32,8 +31,8 @@
 AT_HOME, LEAST_WEIGHT = 0.7, 1e-9  # of a home's cost at which another is as good; weight of the worst server
 LINKS, SQUEEZED = 2, 0.05  # connections kept idle while more than this share of connects is refused at once
 CROWDED, KEEN = 0.2, 0.08  # share of relays refused from which no build is judged; the part of the latest one
-OTHERS = 0.5  # least share of servers of earlier builds for a hold: fewer cannot do the work of all
-FADE = (3.0, 0.5, 0.8)  # s between fadings; what of the latest sample, and of a server's own, each leaves
+OTHERS = 0.5  # least share of servers of earlier builds for a hold, as they do all; of full ones in overload
+FADE = (0.6, 3.0, 0.5, 0.8)  # abandon times, and s, between fadings; what of the latest, and of own, is left
 JUDGES, TELL_EVERY = 3, 1.0  # umpires that pool what all saw, as one or two may be cut off; s between words
 YOUNG, PATIENT, MOST_START = 3.0, 3.7, 11.7  # s from a start to evidence; to an on; if servers are missing
 RENEW, VOTE_PAUSE, BURST, STAND_BY = 0.7, 0.5, 2.0, 3.0  # of a vote's life; s: recast, at once, others first
@@ -43,7 +42,7 @@
 PACE_KEPT, KEPT, OLD_LOAD = 16, 4000, 2.0  # outcomes to a halving; times kept; s until a report is stale
 FEWEST, WINDOW, WIDER, STALL = 4, 4.0, 0.5, 4.0  # servers in use; relays open; growth; usual silence
 SPARE, WAIT = 2.0, 0.25  # usual times that one waiting must have left; share of its target it may always wait
-COLD_PART = 0.5  # of what fells a cold server, sent if the fleet is asked for all it can do; bursts on top
+COLD_PART, FORGOTTEN = 0.5, 0.8  # of what fells cold servers, sent to them; of a window cut off by a restart
 PRIOR, CROSSING, FAR = 0.2, 0.5, 3.0  # of a target, usual at first; rarer crossings; paces that blame the way
 
 
@@ -101,7 +100,7 @@
     total: Samples = {}
     for product, sample in (item for part in parts for item in part.items()):
         whole = total.setdefault(product, Sample())
-        whole.n, whole.bins = whole.n + sample.n, list(map(add, whole.bins, sample.bins))
+        whole.n, whole.bins = whole.n + sample.n, [b + sample.bins[at] for at, b in enumerate(whole.bins)]
     return total
 
 
@@ -151,7 +150,7 @@
 
 
 class Server:
-    refused_at = -inf  # when a connect was last refused at once, or idle links were let go
+    refused_at, queue = -inf, inf  # when a connect was refused, or idle links let go; as told, or not known
 
     def __init__(self, umpire: Umpire, address: bytes) -> None:
         self.umpire, self.address = umpire, address
@@ -196,9 +195,13 @@
         columns = self.umpire.charter.report_columns
         for held in ("q", "rif") if len(report) == len(columns) else ():
             if held in columns:
-                self.load = report[columns.index(held)] + (len(self.out) if held == "q" else 0)
+                told = report[columns.index(held)]
+                self.load, self.queue = (told + len(self.out), told) if held == "q" else (told, self.queue)
                 self.open_then, self.heard_at = len(self.out), self.umpire.host.clock
 
+    def queues(self) -> bool:
+        return self.queue > 0 or self.umpire.host.clock - self.heard_at > OLD_LOAD
+
     def awake(self) -> bool:
         return self.state is Listed.READY and self.rest_until <= self.umpire.host.clock
 
@@ -307,34 +310,35 @@
         relay.server.out.remove(relay)
         umpire.open.remove(relay)
         relay.server.heard(report)
-        # A server that is lost, or slow to shake hands, lets the whole time for a connection pass.
-        refused = outcome is Outcome.UNREACHED and took < umpire.charter.connect_wait / 2
-        if refused:
-            relay.server.refused_at = umpire.host.clock
+        refused = outcome is Outcome.UNREACHED and took < umpire.charter.connect_wait / 2  # not lost nor slow
+        relay.server.refused_at = umpire.host.clock if refused else relay.server.refused_at
         if relay.opened:
             umpire.connects.add(outcome is Outcome.UNREACHED)
             umpire.squeezed += (refused - umpire.squeezed) * KEEN
         umpire.spare_links()
         umpire.crowded += ((outcome in (Outcome.FULL, Outcome.UNREACHED)) - umpire.crowded) * KEEN
-        fair = not umpire.was_away()
+        # Guards against clients with next to no time left: what they gave up on shows nothing.
+        fair, cut = not umpire.was_away(), outcome is Outcome.LATE and took <= self.product.target
         if outcome is Outcome.HANDLED and fair and not self.stuck:
             self.usual.add(took)
-        if fair and not self.stuck and outcome not in (Outcome.ERRORED, Outcome.FULL, Outcome.UNSENT):
+        if fair and not (self.stuck or outcome in (Outcome.ERRORED, Outcome.FULL, Outcome.UNSENT)):
             least = 0.0 if outcome is Outcome.HANDLED else FAR
             umpire.ways.setdefault(relay.zone, Pace()).add(max(least, took / self.usual.mean()))
             umpire.best_way = min(w.mean() for w in umpire.ways.values())  # for each server drawn from
         relay.server.relay_ended(outcome, took / self.usual.mean(), fair and relay.old_enough, self.stuck)
         spoke = outcome in (Outcome.HANDLED, Outcome.ERRORED) or (  # a server lost or cut off blames no build
-            outcome is Outcome.LATE and relay.server.heard_at > relay.at)
+            outcome is Outcome.LATE and relay.server.heard_at > relay.at and not cut)
         if spoke and fair and relay.server.way() < FAR:
             timely = outcome is not Outcome.LATE and took <= self.product.target
             self.judge_flows(relay, not timely)
             share = took / self.product.abandon if outcome is Outcome.HANDLED else 1.0
             word = (relay.server, relay.build, self.product.index, bisect_left(EDGES, share))
             if not self.stuck:
-                umpire.widen(timely)
-                # Guards against blaming a build for a crowd: where a late roster leaves few servers to go to.
-                if relay.old_enough and umpire.crowded < CROWDED:
+                # Guards against servers slow without being full: fewer relays make none faster.
+                if timely or relay.server.queues():
+                    umpire.widen(timely)
+                # Guards against blaming a build for a crowd, or by late ones of before all began anew.
+                if relay.old_enough and umpire.crowded < CROWDED and relay.at >= umpire.panel.since:
                     umpire.panel.learn(*word)
             elif umpire.charter.neighbours:
                 umpire.panel.words.append(word)  # so that judges hear when it is over
@@ -347,8 +351,7 @@
             umpire.serve_waiting(False)
 
     def judge_flows(self, relay: Relay, late: bool) -> None:
-        """Guards against a product or tenant that waits at every server: its late answers narrowed the
-        window, rested servers and blamed builds, until next to nothing was relayed."""
+        """Guards against a product or tenant that waits everywhere: it narrowed, rested and blamed all."""
         if not relay.judged:
             umpire, relay.judged = self.umpire, True
             umpire.weigh([f for f in self.flows if f.stuck] or umpire.flows, self.flows, late)
@@ -358,6 +361,8 @@
 
 
 class Panel:
+    since = -inf  # what was sent before is not learned from
+
     def __init__(self, umpire: Umpire) -> None:
         self.umpire, charter = umpire, umpire.charter
         self.words: list[tuple[Server, int, int, int]] = []
@@ -383,7 +388,7 @@
 
     def start_anew(self) -> None:
         """What was seen is not the servers' nor the builds' doing."""
-        self.lately, trial = {}, self.umpire.trial
+        self.lately, self.since, trial = {}, self.umpire.host.clock, self.umpire.trial
         for server in self.umpire.servers:
             server.seen, server.silent, server.rest_until = {}, 0, 0.0
         if trial:
@@ -392,35 +397,34 @@
     def tell(self) -> None:
         """Each umpire's outcomes go to a few judges, so that what is said grows with transactions alone."""
         umpire, trial = self.umpire, self.umpire.trial
-        for judge in self.judges if self.words else ():
-            if judge != umpire.charter.me:
-                umpire.host.tell_seen(judge, self.words)
+        for judge in [j for j in self.judges if self.words and j != umpire.charter.me]:
+            umpire.host.tell_seen(judge, self.words)
         self.tell_at, self.words = umpire.host.clock + TELL_EVERY, []
         if self.pools and trial and trial.found:
             umpire.host.tell_found(trial.build, trial.stage, trial.found)
-        stuck = [at for at, flow in enumerate(umpire.product_flows()) if flow.found()]
-        if self.pools and stuck:
+        if self.pools and (stuck := [at for at, flow in enumerate(umpire.product_flows()) if flow.found()]):
             umpire.host.tell_stuck(stuck)
 
     def fade(self) -> None:
         if self.umpire.host.clock >= self.fade_at:
-            self.fade_at = self.umpire.host.clock + FADE[0]
-            for samples, kept in ((self.lately, FADE[1]), *((s.seen, FADE[2]) for s in self.umpire.servers)):
+            longest = max(p.abandon for p in self.umpire.charter.products)
+            self.fade_at = self.umpire.host.clock + min(FADE[1], FADE[0] * longest)
+            for samples, kept in ((self.lately, FADE[2]), *((s.seen, FADE[3]) for s in self.umpire.servers)):
                 for sample in samples.values():
                     sample.bins, sample.n = [x * kept for x in sample.bins], sample.n * kept
 
 
 class Trial:
     verdict = found = Verdict.NONE
-    was_held = False  # in this stage, in vain
+    was_held, slow, calm = False, dict[int, Sample](), dict[int, Sample]()  # in this stage, in vain; then
 
     def __init__(self, umpire: Umpire, build: int, stage: int, phase: Phase, began: float) -> None:
         self.umpire, self.build, self.stage, self.phase, self.began = umpire, build, stage, phase, began
         self.before, self.fresh = dict[int, Sample](), dict[int, Sample]()
         self.cast_at = self.ask_at = self.held_at = self.hold_until = self.sure_at = 0.0
-        self.all_before, self.helped = dict[int, Sample](), 0
-        if umpire.trial and umpire.trial.build == build:  # faults are rare, and holds few
-            self.all_before, self.helped = umpire.trial.all_before, umpire.trial.helped
+        self.all_before, self.helped, self.calm = dict[int, Sample](), 0, umpire.panel.calm
+        if (last := umpire.trial) and last.build == build:  # faults are rare, and holds few
+            self.all_before, self.helped, self.calm = last.all_before, last.helped, last.calm
 
     def sides(self, build: int) -> tuple[Samples, ...]:
         return (self.before, self.all_before) if build < self.build else (self.fresh,) * (build == self.build)
@@ -436,34 +440,36 @@
         faults = doubts(self.all_before, merged(mine), (FAILED,))
         spread = doubts(self.all_before, merged(mine[:-1]), (FAILED,)) if len(mine) > 1 else faults
         # Guards against umpires too quiet to judge: the platform's counts, which hold losses on the way too.
-        earlier = merged([panel.tallies[b] for b in sorted(panel.tallies) if b < self.build])
-        counted = panel.tallies.get(self.build, {})
-        common = doubts(earlier, counted, (FAILED,))
-        surely = log(2 / panel.level)
+        surely, counted = log(2 / panel.level), panel.tallies.get(self.build, {})
+        common = doubts(merged([t for b, t in panel.tallies.items() if b < self.build]), counted, (FAILED,))
         # Guards against a stuck flow that fills the servers: others wait too, on the new build alone.
-        stuck = any(flow.stuck for flow in umpire.flows)
-        if (wide - around > MARGIN and not stuck) or (faults > surely and spread > 0) or (
-                common > log(2 / LEVEL) and faults > LEAN):
+        if (wide - around > MARGIN and not any(f.stuck for f in umpire.flows)) or (
+                faults > surely and spread > 0) or (common > log(2 / LEVEL) and faults > LEAN):
             umpire.host.note(f"back: gap {wide:.2f} ± {around:.2f}, faults {faults:.1f}, counts {common:.1f}")
             return Verdict.BACK
         # Guards against a build that slows all servers: all hold it for a while, and again.
         everywhere = doubts(panel.calm, panel.lately, range(FAILED))
         if self.held_at and now < self.held_at + HELD:
-            panel.lately = panel.lately if now > self.held_at + CLEAR else {}
+            if now <= self.held_at + CLEAR:
+                panel.lately, panel.since = {}, now
             return Verdict.HOLD
         if self.held_at:  # what helps once may be a trouble that ended just then
-            helps, self.held_at = everywhere < 0, 0.0
-            self.was_held = not helps
+            helps = everywhere < 0 or doubts(panel.lately, self.slow, range(FAILED)) > surely
+            self.was_held, self.held_at = not helps, 0.0
             self.helped, self.sure_at = self.helped + helps, now + HELD * helps
             panel.calm, panel.lately = panel.calm if helps else merged([panel.lately]), {}
             return Verdict.BACK if helps and self.helped > (umpire.cap < DOSE) else Verdict.NONE
-        # Guards against holds by one umpire alone, which show nothing, and again and again in an overload,
-        # until one seems to help: one hold a stage, by those whose word all follow.
+        # Guards against holds in an overload until one seems to help: one a stage, by those whom all follow.
         all_hold = panel.pools or not umpire.charter.neighbours
         can_hold = self.phase is Phase.TRIAL and all_hold and not self.was_held and self.can_be_held()
         # Guards against blaming a build for its cold servers: what they lack comes back as they get warm.
-        self.held_at = now if everywhere > surely and can_hold and settled else 0.0
-        sound = (spread < LEAN and faults < surely / 2 and common < LEAN
+        if everywhere > surely and can_hold and self.settled(min(PATIENT, umpire.charter.cold_for)):
+            self.held_at, self.slow = now, merged([panel.lately])
+        # Guards against an on, after a hold in vain, while all is slow though most tell that none wait.
+        full, ready = sum(s.queues() for s in umpire.ready), len(umpire.ready)
+        none = full <= OTHERS * ready and now < self.began + MOST_START
+        slower = none and doubts(self.calm, panel.lately, range(FAILED)) >= surely / 2
+        sound = (not slower and spread < LEAN and faults < surely / 2 and common < LEAN
                  and (everywhere < surely / 2 or not can_hold))
         enough = wide + around < TOLERANCE or max(n, sum(x.n for x in counted.values())) >= LEAST
         return Verdict.ON if settled and sound and enough and now >= self.sure_at else Verdict.NONE
@@ -478,13 +484,13 @@
         olds = sum(s.build < self.build for s in ready)
         return olds >= OTHERS * len(ready) and (not replaces or self.share() <= 1 - OTHERS)
 
-    def settled(self) -> bool:
+    def settled(self, patience: float = PATIENT) -> bool:
         """Guards against an on too early: a stage's servers start, and are listed, one by one and late."""
         ready, charter, now = self.umpire.ready, self.umpire.charter, self.umpire.host.clock
         fresh = [s.since for s in ready if s.build == self.build]
         places = len(ready) - (0 if charter.replaces else len(fresh))
         complete = len(fresh) >= max(1, ceil(self.share() * places - 1e-6)) or now - self.began >= MOST_START
-        return self.phase is Phase.TRIAL and complete and now - max(fresh, default=inf) >= PATIENT
+        return self.phase is Phase.TRIAL and complete and now - max(fresh, default=inf) >= patience
 
     def reach(self, verdict: Verdict, heard: bool) -> None:
         """Guards against hundreds of votes at once, or on a stage that another's vote has moved already."""
@@ -609,9 +615,8 @@
 
     def neighbour_stuck(self, neighbour: int, products: Sequence[int]) -> None:
         """Guards against hundreds of umpires that must each lose a few before they find a stuck product."""
-        if neighbour not in self.panel.judges:
-            return
-        for flow in [f for at, f in enumerate(self.product_flows()) if at in products]:
+        told = products if neighbour in self.panel.judges else ()
+        for flow in [f for at, f in enumerate(self.product_flows()) if at in told]:
             if not flow.stuck:
                 self.panel.start_anew()
             flow.told_until = self.host.clock + TOLD_FOR
@@ -625,8 +630,7 @@
              again: bool) -> Transaction:
         tenants = max(1, len(self.charter.tenant_shares))
         self.flows = self.flows or [Flow(self) for _ in range(len(self.usual) + tenants)]
-        tenant = min(tenant, tenants - 1)
-        transaction = Transaction(self, number, product, tenant, until, key, again)
+        transaction = Transaction(self, number, product, min(tenant, tenants - 1), until, key, again)
         for times in (self.allowance(transaction)[0], self.taken):
             times.append(self.host.clock)
         transaction.dispatch()
@@ -648,11 +652,11 @@
         told = (self.stage, self.cap) if build == self.build else (0, self.charter.caps[0])
         guarded = told[0] < self.charter.guarded_stages and transaction.product.repeat is not Repeat.REDOABLE
         start, (taken, sent) = self.host.clock - self.charter.window, self.allowance(transaction)
-        left = self.charter.free + told[1] * taken.since(start + SLIP) - sent.since(start - SLIP)
+        # Guards against a restart inside a window: its forgotten life may have used all.
+        free, part = (self.charter.free, 1.0) if start >= self.began else (0.0, FORGOTTEN * (told[1] >= 1))
+        left = free + part * told[1] * taken.since(start + SLIP) - sent.since(start - SLIP)
         held = self.trial and self.host.clock < self.trial.hold_until and self.trial.can_be_held()
-        # Guards against a restart inside a window, of which its forgotten life may have used all.
-        known = start >= self.began
-        return known and not (guarded or held) and told[1] > 0 and left >= 1
+        return not (guarded or held) and told[1] > 0 and left >= 1
 
     def choose(self, transaction: Transaction) -> Server | None:
         now, tried = self.host.clock, [r.server for r in transaction.relays]
@@ -703,10 +707,9 @@
         """Guards against servers that take few connections: idle ones of some kept all others out."""
         if self.squeezed > SQUEEZED:
             linked = sorted((s for s in self.ready if s.linked()), key=lambda s: -s.heard_at)
-            for server in linked[max(LINKS, 2 * len(self.open)):]:
-                if not server.out:
-                    server.refused_at = self.host.clock
-                    self.host.let_go(server)
+            for server in [s for s in linked[max(LINKS, 2 * len(self.open)):] if not s.out]:
+                server.refused_at = self.host.clock
+                self.host.let_go(server)
 
     def widen(self, timely: bool) -> None:
         """Guards against overload: a congestion window, narrower by late answers, to one relay a server."""
--- a/stepsail/http/message.py
+++ b/stepsail/http/message.py
@@ -23,6 +23,10 @@
         self.status = status
 
 
+class CutShort(BadMessage):
+    """What came was well so far, and ended before it was whole."""
+
+
 @dataclass(frozen=True, slots=True)
 class Bounds:
     """Bytes of a head and of a body; seconds without a request, and for the whole of one.
--- a/stepsail/http/reader.py
+++ b/stepsail/http/reader.py
@@ -6,7 +6,7 @@
 
 import httptools
 
-from stepsail.http.message import BadMessage, Bounds, Headers, Request, Response, find, listed
+from stepsail.http.message import BadMessage, Bounds, CutShort, Headers, Request, Response, find, listed
 from stepsail.http.strict import body_length, check_head
 
 HEAD, SIZED, CHUNKED, UNTIL_CLOSE, WHOLE = range(5)
@@ -94,7 +94,7 @@
         if self.state == UNTIL_CLOSE:
             self.keep_alive, self.state = False, WHOLE
         elif self.state != WHOLE:
-            raise BadMessage(400, "the stream ended inside a message")
+            raise CutShort(400, "the stream ended inside a message")
 
     def _head(self) -> None:
         if self.request:  # RFC 9112 section 2.2: an empty line or two before a request are passed over
--- a/stepsail/platform/boxes.py
+++ b/stepsail/platform/boxes.py
@@ -15,15 +15,16 @@
 
 PASSED = (words.ID, words.LABEL)  # headers that reach the server as the client sent them
 BEFORE = {Close.NOT_BEGUN: Outcome.UNSENT, Close.WITHDRAWN: Outcome.UNSENT, Close.TIME_OVER: Outcome.UNSENT,
-          Close.NO_CONNECTION: Outcome.UNREACHED, Close.BROKE: Outcome.UNREACHED}
+          Close.NO_CONNECTION: Outcome.UNREACHED, Close.BROKE: Outcome.UNREACHED, Close.SPOILT: Outcome.UNREACHED}
 AFTER = {Close.NOT_BEGUN: Outcome.BROKEN, Close.WITHDRAWN: Outcome.WITHDRAWN, Close.TIME_OVER: Outcome.LATE,
-         Close.NO_CONNECTION: Outcome.BROKEN, Close.BROKE: Outcome.BROKEN}
+         Close.NO_CONNECTION: Outcome.BROKEN, Close.BROKE: Outcome.BROKEN, Close.SPOILT: Outcome.ERRORED}
 
 
 def outcome(close: Close, all_written: bool, answer: Response | None) -> Outcome:
     """A server begins at the last byte: what broke before that never ran, what broke after it may have.
 
-    Only a 503 or 504 that says so never ran, and only a whole 200 with a body is handled.
+    An answer that cannot be read is an error, not a reset: the server is there and has spoken. Only a 503 or
+    504 that says so never ran, and only a whole 200 with a body is handled.
     """
     if close is Close.ANSWERED and answer is not None:
         if answer.status in (503, 504) and answer.header(words.NOT_RUN) == b"1":
--- a/stepsail/umpire/endings.py
+++ b/stepsail/umpire/endings.py
@@ -20,7 +20,8 @@
     NOT_BEGUN = "the transaction had closed, its time was over, or a bound of this umpire was reached"
     NO_CONNECTION = "refused, reset or hung while connecting, or a certificate that is not to be trusted"
     ANSWERED = "a whole answer was read"
-    BROKE = "closed, reset, or an answer that is no HTTP"
+    BROKE = "closed or reset, before an answer or inside one"
+    SPOILT = "an answer that is no HTTP, or beyond the bounds"
     TIME_OVER = "the relay's time ran out"
     WITHDRAWN = "the module gave it up"
 
@@ -34,8 +35,9 @@
     if close is Close.NO_CONNECTION:
         return Outcome.UNREACHED
     if written == 0:
-        return Outcome.UNREACHED if close is Close.BROKE else Outcome.UNSENT
-    return {Close.NOT_BEGUN: Outcome.UNSENT, Close.BROKE: Outcome.BROKEN, Close.TIME_OVER: Outcome.LATE,
+        return Outcome.UNREACHED if close in (Close.BROKE, Close.SPOILT) else Outcome.UNSENT
+    return {Close.NOT_BEGUN: Outcome.UNSENT, Close.BROKE: Outcome.BROKEN, Close.SPOILT: Outcome.BROKEN,
+            Close.TIME_OVER: Outcome.LATE,
             Close.WITHDRAWN: Outcome.WITHDRAWN}[close]
 
 
--- a/stepsail/umpire/nodes.py
+++ b/stepsail/umpire/nodes.py
@@ -7,7 +7,7 @@
 
 from stepsail.charter import Orders
 from stepsail.charter.shape import Address
-from stepsail.http import BadMessage, Outlet, Progress, Response
+from stepsail.http import BadMessage, CutShort, Outlet, Progress, Response
 from stepsail.interface import Outcome, ServerHandle
 from stepsail.loop import Cancelled, Channel, Closed, Loop, Stream, Task, TimedOut
 from stepsail.umpire.endings import Close
@@ -140,10 +140,11 @@
                 return Close.ANSWERED, answer
             except TimedOut:
                 return Close.TIME_OVER, None
-            except (OSError, Closed, BadMessage):
+            except (OSError, Closed, BadMessage) as trouble:
                 if progress.written == 0 and not fresh:
                     continue  # an idle connection that had died; nothing of the request left this process
-                return Close.BROKE, None
+                spoilt = isinstance(trouble, BadMessage) and not isinstance(trouble, CutShort)
+                return Close.SPOILT if spoilt else Close.BROKE, None
             finally:
                 if not kept:
                     self._put_back(node, outlet)
--- /dev/null
+++ b/tests/platform/test_tables.py
@@ -0,0 +1,164 @@
+"""The platform's tables row by row, without a socket: requests, relays' endings, settings, fields."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from posted import SETTINGS, written
+
+from stepsail.charter.told import pairs_of_object, pairs_of_text, read_charter
+from stepsail.http import Bounds, Request, Response
+from stepsail.http.reader import Reader
+from stepsail.interface import Outcome
+from stepsail.platform.boxes import PlatformWire, outcome
+from stepsail.platform.door import PlatformSpeech
+from stepsail.platform.fields import Misfit, address
+from stepsail.platform.settings import Post, read_post
+from stepsail.umpire.endings import Close
+from stepsail.umpire.host import Held
+from stepsail.umpire.speech import Asked
+
+
+def post(folder: Path, **changed: Any) -> Post:
+    return read_post(written(folder, **changed), 0.0)
+
+
+def test_the_simulators_text_and_the_platforms_object_are_one_charter(tmp_path: Path) -> None:
+    text = "\n".join(f"{path}={value}" for path, value in pairs_of_object(SETTINGS).items())
+    assert "Lanes.count=2" in text and "Zones=hall-a,hall-b" in text and "Limits.Cancel=true" in text
+    assert post(tmp_path).orders.charter == read_charter(pairs_of_text(text))
+
+
+def test_bounds_follow_from_the_told_limits(tmp_path: Path) -> None:
+    few, many = (post(tmp_path, limits={"sockets": n}).orders for n in (256, 1024))
+    for orders, told in ((few, 256), (many, 1024)):
+        assert told / 3 < orders.door_connections and orders.door_connections + orders.most_links < told
+    assert few.most_links < many.most_links
+
+
+@pytest.mark.parametrize("changed", [
+    {"settings": []}, {"deployer": {"address": "nowhere"}}, {"limits": {}}, {"seed": "no number"},
+    {"settings": SETTINGS | {"Lanes": []}}, {"settings": SETTINGS | {"MyZone": 7}}, {"listen": "127.0.0.1"}])
+def test_a_configuration_that_cannot_be_used_says_what_is_wrong(tmp_path: Path, changed: dict[str, Any]) -> None:
+    with pytest.raises(Misfit, match=r"config\.json: "):
+        post(tmp_path, **changed)
+
+
+def test_no_configuration_or_a_torn_one_is_told_as_that(tmp_path: Path) -> None:
+    environ = written(tmp_path)
+    (tmp_path / "config.json").write_text('{"name":')
+    for told in ({}, environ, {"PROXY_CONFIG": str(tmp_path / "none")}):
+        with pytest.raises(Misfit):
+            read_post(told, 0.0)
+
+
+GOOD = {"x-call-id": "9b1f03aa5c7e2d41", "x-budget-ms": "480"}
+
+
+def asked(speech: PlatformSpeech, method: str, target: str, body: bytes = b"", **headers: str | None) -> Any:
+    told = GOOD | {name.replace("_", "-"): value for name, value in headers.items()}
+    pairs = [(name.encode(), value.encode()) for name, value in told.items() if value is not None]
+    return speech.hears(Request(method.encode(), target.encode(), [(b"host", b"x"), *pairs], body), True)
+
+
+def test_what_a_request_asks_for(tmp_path: Path) -> None:
+    speech = PlatformSpeech(post(tmp_path).orders)
+    assert asked(speech, "GET", "/lookup?obj=5") == Asked(0, 0.48)
+    assert asked(speech, "GET", "/lookup/more", x_again="1", x_budget_ms="9000") == Asked(0, 1.5, again=True)
+    assert asked(speech, "POST", "/record", b"{}", idempotency_key="k", x_call_info="NameKey=77,UserGroup=0") \
+        == Asked(1, 0.48, 0, 77)
+    assert asked(speech, "GET", "/_health").status == 200
+
+
+BAD: list[tuple[int, str, str, bytes, dict[str, str | None]]] = [
+    (404, "GET", "/nothing", b"", {}), (404, "GET", "/", b"", {}), (404, "GET", "/lookupx", b"", {}),
+    (404, "GET", "http://x/lookup", b"", {}), (405, "POST", "/lookup", b"", {}), (405, "GET", "/record", b"", {}),
+    (400, "GET", "/lookup", b"", {"x_call_id": None}), (400, "GET", "/lookup", b"", {"x_call_id": "a b"}),
+    (400, "GET", "/lookup", b"", {"x_call_id": ""}), (400, "GET", "/lookup", b"", {"x_call_id": "a" * 200}),
+    (400, "GET", "/lookup", b"", {"x_budget_ms": None}), (400, "GET", "/lookup", b"", {"x_budget_ms": "soon"}),
+    (400, "GET", "/lookup", b"", {"x_budget_ms": "-5"}), (400, "GET", "/lookup", b"", {"x_budget_ms": "1e3"}),
+    (400, "GET", "/lookup", b"", {"x_budget_ms": "9" * 30}), (400, "POST", "/record", b"{}", {}),
+    (400, "GET", "/lookup", b"a body", {})]
+
+
+@pytest.mark.parametrize(("status", "method", "target", "body", "headers"), BAD)
+def test_what_is_no_transaction_is_answered_and_never_taken(
+        tmp_path: Path, status: int, method: str, target: str, body: bytes, headers: dict[str, str | None]) -> None:
+    answer = asked(PlatformSpeech(post(tmp_path).orders), method, target, body, **headers)
+    assert isinstance(answer, Response) and answer.status == status
+
+
+def test_an_id_that_is_open_is_turned_away_until_it_is_answered(tmp_path: Path) -> None:
+    speech = PlatformSpeech(post(tmp_path).orders)
+    request = Request(b"GET", b"/lookup", [(b"x-call-id", GOOD["x-call-id"].encode())])
+    held = Held(0, request, 1.0, 1.0)
+    speech.took(request, held)
+    assert asked(speech, "GET", "/lookup").status == 409
+    speech.parted(held)
+    assert isinstance(asked(speech, "GET", "/lookup"), Asked) and not speech.ids
+
+
+def test_a_denial_says_in_fractions_when_to_come_back_and_an_error_promises_nothing(tmp_path: Path) -> None:
+    speech = PlatformSpeech(post(tmp_path).orders)
+    held = Held(0, Request(b"GET", b"/lookup", []), 1.0, 1.0)
+    held.stay_away = 0.25
+    assert speech.denied(held).header(b"retry-after") == b"0.250" and speech.denied(held).status == 503
+    held.stay_away = 0.0
+    assert speech.denied(held).header(b"retry-after") is None
+    assert [speech.errored(held, late).status for late in (False, True)] == [502, 504]
+
+
+SAYS = [(b"x-rejected", b"1")]
+ROWS = [
+    (Close.ANSWERED, True, Response(200, [], b"b"), Outcome.HANDLED),
+    (Close.ANSWERED, True, Response(200, [], b""), Outcome.ERRORED),
+    (Close.ANSWERED, False, Response(200, [], b"b"), Outcome.ERRORED),  # answered before it was asked
+    (Close.ANSWERED, True, Response(500, []), Outcome.ERRORED),
+    (Close.ANSWERED, True, Response(404, []), Outcome.ERRORED),
+    (Close.ANSWERED, True, Response(503, SAYS), Outcome.FULL),
+    (Close.ANSWERED, True, Response(504, SAYS), Outcome.FULL),
+    (Close.ANSWERED, True, Response(503, []), Outcome.ERRORED),
+    (Close.ANSWERED, True, Response(500, SAYS), Outcome.ERRORED),
+    (Close.NO_CONNECTION, False, None, Outcome.UNREACHED), (Close.BROKE, False, None, Outcome.UNREACHED),
+    (Close.BROKE, True, None, Outcome.BROKEN), (Close.SPOILT, True, None, Outcome.ERRORED),
+    (Close.SPOILT, False, None, Outcome.UNREACHED), (Close.TIME_OVER, True, None, Outcome.LATE),
+    (Close.TIME_OVER, False, None, Outcome.UNSENT), (Close.WITHDRAWN, True, None, Outcome.WITHDRAWN),
+    (Close.WITHDRAWN, False, None, Outcome.UNSENT), (Close.NOT_BEGUN, False, None, Outcome.UNSENT)]
+
+
+@pytest.mark.parametrize(("close", "all_written", "answer", "ended"), ROWS)
+def test_row(close: Close, all_written: bool, answer: Response | None, ended: Outcome) -> None:
+    assert outcome(close, all_written, answer) is ended
+
+
+def test_only_a_canonical_request_leaves_with_what_the_client_gave(tmp_path: Path) -> None:
+    wire = PlatformWire(post(tmp_path).orders, lambda server: (("", 0), None), True)
+    request = Request(b"POST", b"/record?obj=4", [
+        (b"host", b"evil"), (b"x-call-id", b"i"), (b"idempotency-key", b"k"), (b"x-budget-ms", b"99"),
+        (b"connection", b"x")], b"body")
+    reader = Reader(True, Bounds())
+    reader.feed(wire.request(request, b"s-1", 0.0734))
+    assert reader.whole and reader.request_read() == Request(b"POST", b"/record?obj=4", [
+        (b"host", b"service.internal"), (b"x-call-id", b"i"), (b"idempotency-key", b"k"), (b"x-budget-ms", b"73"),
+        (b"content-length", b"4")], b"body", length=4)
+
+
+@pytest.mark.parametrize(("text", "values"), [
+    (b"TEXT inflight=7, queue=2, util=0.61", (2.0,)), (b"TEXT q=3.5", (3.5,)), (b"TEXT queue=", ()),
+    (b"TEXT util=1", ()), (b"\xff\xfe", ()), (b"TEXT queue=-4", ()), (b"TEXT queue=nan", ()), (b"", ())])
+def test_a_load_report_is_read_or_passed_over(tmp_path: Path, text: bytes, values: tuple[float, ...]) -> None:
+    wire = PlatformWire(post(tmp_path).orders, lambda server: (("", 0), None), True)
+    assert wire.report(Response(200, [(b"x-load-report", text)], b"b")) == values
+
+
+@given(st.text(max_size=30))
+def test_any_text_is_an_address_or_a_misfit(text: str) -> None:
+    try:
+        host, port = address(text)
+    except Misfit:
+        return
+    assert host.count(".") == 3 and 0 < port < 65536
--- /dev/null
+++ b/tests/platform/test_umpire.py
@@ -0,0 +1,312 @@
+"""A whole umpire on loopback, against boxes, discovery and a platform that do what each test scripts."""
+
+from __future__ import annotations
+
+import signal
+import socket
+import subprocess
+import time
+import tomllib
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from posted import written
+from rig import Said, Script, ScriptedBox, answers, hangs
+
+from stepsail.balance import Umpire
+from stepsail.http import Bounds, Inlet, Outlet, Progress, Request, Response, encode_request, encode_response
+from stepsail.http.message import chunk
+from stepsail.interface import Verdict
+from stepsail.loop import Listener, Loop, PollDriver, Stream
+from stepsail.platform.life import Life
+from stepsail.platform.settings import read_post
+from stepsail.standins.rehearsal import free_address
+
+OPEN = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+NEWS = {"build": 1, "stage": 1, "phase": "live", "cap": 1.0, "age_ms": 0}
+
+
+class Teller:
+    """Discovery or the platform: streams the lines it is given, and keeps what else it is asked."""
+
+    def __init__(self, loop: Loop, *lines: Any) -> None:
+        self.loop, self.lines, self.asked = loop, list(lines), list[Request]()
+        self.answer: bytes = encode_response(200, [], msgspec.json.encode(NEWS))
+        self.listener = Listener(loop, ("127.0.0.1", 0), 100)
+        self.address = "{}:{}".format(*self.listener.address)
+        loop.spawn(self.listener.serve, self._serve, "teller", name="teller")
+
+    def _serve(self, stream: Stream) -> None:
+        request = Inlet(self.loop, stream, Bounds()).next()
+        if request is None:
+            return
+        self.asked.append(request)
+        if request.method == b"POST":
+            stream.write(self.answer, 1.0)
+            return
+        stream.write(OPEN, 1.0)
+        for line in self.lines:
+            stream.write(chunk(line if isinstance(line, bytes) else msgspec.json.encode(line) + b"\n"), 1.0)
+        self.loop.sleep(30.0)
+
+
+def entry(box: ScriptedBox, **changed: Any) -> dict[str, Any]:
+    return {"name": "s-" + box.address.split(":")[1], "address": box.address, "zone": "hall-a", "type": "m2",
+            "group": 0, "status": "up", "weight": 1.0, "since_ms": 0, "revision_no": 1} | changed
+
+
+def says(data: bytes) -> Script:
+    return lambda box, stream, request, inlet: data
+
+
+class Stage:
+    """Runs `test(stage)` beside one umpire."""
+
+    def __init__(self, folder: Path, test: Callable[[Stage], None], scripts: list[Script], **changed: Any) -> None:
+        self.driver, self.log, self.folder, self.test = PollDriver(), Said(), folder, test
+        self.loop, self.scripts, self.changed = Loop(self.driver, self.log._line), scripts, changed
+        try:
+            self.loop.run(self._main)
+        finally:
+            self.driver.shutdown()
+
+    def write(self) -> dict[str, str]:
+        told: dict[str, Any] = {"deployer": {"address": self.deployer.address, "news": NEWS}}
+        return written(self.folder, listen="{}:{}".format(*self.listen), discovery=self.discovery.address,
+                       known={"index": 1, "snapshot": True, "endpoints": [entry(b) for b in self.boxes]},
+                       **(told | self.changed))
+
+    def _main(self) -> None:
+        self.boxes = [ScriptedBox(self.loop, script, number=at) for at, script in enumerate(self.scripts)]
+        whole = {"index": 2, "snapshot": True, "endpoints": [entry(b) for b in self.boxes]}
+        self.discovery = Teller(self.loop, whole)
+        self.deployer = Teller(self.loop, {"type": "ROLLOUT", "object": NEWS}, {})
+        self.listen = free_address()
+        environ = self.write()
+        self.life = Life(self.loop, read_post(environ, 0.0), Umpire, self.log, lambda: read_post(environ, 0.0))
+        self.task = self.loop.spawn(self.life.run, name="umpire")
+        self.until(lambda: self.life.door.ready)
+        self.test(self)
+
+    def until(self, true: Callable[[], Any]) -> None:
+        end = self.loop.now() + 5.0
+        while not true():
+            assert self.loop.now() < end, self.log
+            self.loop.sleep(0.005)
+
+    def ask(self, target: str = "/lookup", method: str = "GET", mark: str = "a1", left: int = 1000,
+            stream: Stream | None = None, body: bytes = b"", **more: str) -> Response:
+        own = stream or Stream.connect(self.loop, self.listen, 1.0)
+        head = [(b"host", b"x"), (b"x-call-id", mark.encode()), (b"x-budget-ms", b"%d" % left),
+                *((name.replace("_", "-").encode(), value.encode()) for name, value in more.items())]
+        try:
+            return Outlet(self.loop, own, Bounds()).exchange(
+                encode_request(method.encode(), target.encode(), head, body), self.loop.now() + 4.0, Progress())
+        finally:
+            if stream is None:
+                own.close()
+
+    def said(self, data: bytes, within: float = 3.0) -> bytes:
+        """All that comes back for raw bytes until the umpire closes."""
+        stream, got = Stream.connect(self.loop, self.listen, 1.0), b""
+        try:
+            with self.loop.timeout(within):
+                stream.write(data, 2.0)
+                while part := stream.read():
+                    got += part
+                return got
+        except OSError:
+            return got
+        finally:
+            stream.close()
+        raise AssertionError("neither answered nor closed in time")
+
+
+def test_a_transaction_goes_through_and_the_connection_stays(tmp_path: Path) -> None:
+    def test(stage: Stage) -> None:
+        stream = Stream.connect(stage.loop, stage.listen, 1.0)
+        for mark in ("a1", "a2"):
+            answer = stage.ask("/record?obj=3", "POST", mark, body=b"{}", idempotency_key="k1", stream=stream)
+            assert (answer.status, answer.body) == (200, b"ok")
+        seen = stage.boxes[0].seen[0]
+        assert (seen.target, seen.body, seen.header(b"x-call-id")) == (b"/record?obj=3", b"{}", b"a1")
+        assert 900 < int(seen.header(b"x-budget-ms") or 0) <= 1000 and stage.ask("/_health").status == 200
+        stream.close()
+    Stage(tmp_path, test, [answers()])
+
+
+def test_spoilt_answers_are_never_passed_on_and_good_ones_with_more_are(tmp_path: Path) -> None:
+    whole = encode_response(200, [], b"good")
+    spoilt = [b"\x00\xff noise \r\n\r\n", b"HTTP/1.1 200 OK\r\ncontent-length: 3000000000\r\n\r\nabc",
+              b"HTTP/1.1 200 OK\r\n" + b"x: y\r\n" * 9000, b"HTTP/1.1 200 OK\r\ncontent-length: -4\r\n\r\n",
+              b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\ntransfer-encoding: chunked\r\n\r\n4\r\ngood\r\n0\r\n\r\n",
+              b"HTTP/1.1 200 OK\r\n\r\nuntil the close"]
+    good = [b"HTTP/1.1 103 Early Hints\r\n\r\n" + whole, whole + whole, whole + b"\x00noise",
+            encode_response(200, [(b"x-load-report", b"\xff=;")], b"good")]
+
+    def test(stage: Stage) -> None:
+        for at, data in enumerate(spoilt + good):
+            stage.boxes[0].script = says(data)
+            answer = stage.ask("/record", "POST", f"m{at}", left=150, body=b"{}", idempotency_key=f"k{at}")
+            assert (answer.status == 200 and answer.body == b"good") is (data in good), (data[:60], answer)
+            stage.life.host.umpire.panel.start_anew()  # type: ignore[attr-defined]
+            stage.loop.sleep(0.01)
+    Stage(tmp_path, test, [answers()])
+
+
+def test_bad_clients_are_answered_or_closed_and_reach_no_server(tmp_path: Path) -> None:
+    bad = [b"\x16\x03\x01 noise", b"GET /lookup HTTP/1.1\r\n" + b"a: b\r\n" * 9000,
+           b"POST /record HTTP/1.1\r\nhost: x\r\ncontent-length: -1\r\n\r\n",
+           b"POST /record HTTP/1.1\r\nhost: x\r\ncontent-length: 60000000\r\n\r\n" + b"x" * 100000,
+           b"POST /record HTTP/1.1\r\nhost: x\r\ncontent-length: 5\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+           b"GET /nothing HTTP/1.1\r\nhost: x\r\n\r\n" * 300, b"GET /lookup HTTP/1.1\r\nhost: x\r\n\r\n"]
+
+    def test(stage: Stage) -> None:
+        for data in bad:
+            got = stage.said(data)
+            assert got[:10] in (b"HTTP/1.1 4", b"HTTP/1.1 5", b"") and got.count(b"HTTP/1.1") <= 1
+        start = stage.loop.now()
+        assert stage.said(b"") == b"" and b" 408 " in stage.said(b"GET /lookup HT")
+        assert stage.loop.now() - start < 6.0
+        assert not stage.boxes[0].seen and stage.life.host.taken == 0 and stage.ask().status == 200
+    Stage(tmp_path, test, [answers()])
+
+
+def test_silent_clients_make_room_for_usual_ones(tmp_path: Path) -> None:
+    def test(stage: Stage) -> None:
+        most = stage.life.orders.door_connections
+        crowd = [socket.create_connection(stage.listen, 1.0) for _ in range(most + 30)]
+        stage.loop.sleep(0.1)
+        for at in range(5):
+            assert stage.ask(mark=f"a{at}").status == 200
+        assert stage.life.door.listener and len(stage.life.door.listener.open) <= most
+        for one in crowd:
+            one.close()
+    Stage(tmp_path, test, [answers()], limits={"sockets": 96})
+
+
+def test_a_client_that_closes_has_left_and_its_relay_may_go_on(tmp_path: Path) -> None:
+    def test(stage: Stage) -> None:
+        stream = Stream.connect(stage.loop, stage.listen, 1.0)
+        stream.write(b"GET /lookup HTTP/1.1\r\nhost: x\r\nx-call-id: q\r\nx-budget-ms: 900\r\n\r\n", 1.0)
+        stage.until(lambda: stage.boxes[0].seen)
+        stream.close()
+        stage.until(lambda: stage.life.host.counts["left"] == 1)
+    Stage(tmp_path, test, [hangs(0.3)])
+
+
+def test_nothing_is_sent_once_a_server_is_told_to_drain_while_it_was_connected_to(tmp_path: Path) -> None:
+    def test(stage: Stage) -> None:
+        discovery, box = stage.life.discovery, stage.boxes[0]
+        name = entry(box)["name"].encode()
+        before = discovery.place(name)
+        discovery._hear({"index": 9, "snapshot": False, "endpoints": [entry(box, status="draining")]}, False)
+        assert discovery.place(name) != before and stage.ask(left=200).status in (502, 503, 504) and not box.seen
+    Stage(tmp_path, test, [answers()])
+
+
+def test_a_spoilt_list_tells_the_module_nothing_but_that_the_call_failed(tmp_path: Path) -> None:
+    def test(stage: Stage) -> None:
+        stage.until(lambda: stage.life.discovery.index == 2)
+        stage.discovery.lines = [{"index": 3, "snapshot": True, "endpoints": [entry(stage.boxes[0], status="odd")]}]
+        assert stage.life.discovery.watching
+        stage.life.discovery.watching.cancel()
+        stage.loop.sleep(0.02)
+        stage.life.discovery.watch()
+        stage.until(lambda: "watch_ended" in stage.log.events())
+        assert stage.life.discovery.index == 2 and stage.ask().status == 200
+    Stage(tmp_path, test, [answers()])
+
+
+def test_votes_become_receipts_as_the_table_says(tmp_path: Path) -> None:
+    rows = [(200, NEWS, "counted"), (429, {"error": "Throttling"}, "full"),
+            (409, {"error": "ConditionFailed"}, "moot"), (500, {"error": "InternalFailure"}, "error"),
+            (400, {"error": "ValidationError"}, "error"),
+            (200, {"error": "x"}, "unknown"), (429, {}, "unknown"), (302, {}, "unknown")]
+
+    def test(stage: Stage) -> None:
+        def told() -> list[str]:
+            return [fields["receipt"] for event, fields in stage.log if event == "vote_answered"]
+        for status, body, receipt in rows:
+            stage.deployer.answer = encode_response(status, [], msgspec.json.encode(body))
+            before = len(told())
+            stage.life.deployer._vote(1, 1, Verdict.BACK)
+            assert told()[before:] == [receipt], (status, body)
+        assert msgspec.json.decode(stage.deployer.asked[-1].body) == {"build": 1, "stage": 1, "verdict": "ROLLBACK"}
+        stage.deployer.answer = b"\x00\x01 noise"
+        stage.life.deployer._vote(1, 1, Verdict.ON)
+        stage.deployer.listener.drop()
+        stage.life.deployer._vote(1, 1, Verdict.ON)
+        assert told()[-2:] == ["unknown", "error"]
+    Stage(tmp_path, test, [answers()])
+
+
+def test_sighup_moves_discovery_and_the_platform_and_a_torn_file_does_not(tmp_path: Path) -> None:
+    def test(stage: Stage) -> None:
+        stage.until(lambda: stage.discovery.asked and stage.deployer.asked)
+        whole = (tmp_path / "config.json").read_bytes()
+        (tmp_path / "config.json").write_bytes(whole[:40])
+        stage.life.move()
+        stage.until(lambda: "settings_not_read" in stage.log.events())
+        old = stage.discovery
+        stage.discovery, stage.deployer = Teller(stage.loop, *old.lines), Teller(stage.loop, {})
+        stage.write()
+        stage.until(lambda: stage.discovery.asked and stage.deployer.asked)
+        assert b"index=2" in stage.discovery.asked[0].target and stage.ask().status == 200
+    Stage(tmp_path, test, [answers()])
+
+
+def test_sigterm_answers_what_is_held_and_what_still_comes(tmp_path: Path) -> None:
+    def test(stage: Stage) -> None:
+        held = stage.loop.spawn(stage.ask, "/lookup", "GET", "held", name="held")
+        stage.until(lambda: stage.boxes[0].seen)
+        stage.life.stopped.set()
+        stage.loop.sleep(0.1)
+        stage.boxes[0].script = answers()
+        late = stage.ask(mark="late")
+        assert late.status == 200 and late.header(b"connection") == b"close"
+        assert held.join(3.0).status == 200 and stage.task.join(5.0) == 0
+    Stage(tmp_path, test, [hangs(0.8)])
+
+
+def test_one_that_answers_nothing_is_given_up_within_the_clients_time(tmp_path: Path) -> None:
+    def test(stage: Stage) -> None:
+        start = stage.loop.now()
+        answer = stage.ask("/record", "POST", left=300, body=b"{}", idempotency_key="k")
+        assert answer.status == 504 and 0.2 < stage.loop.now() - start < 0.35
+        assert answer.header(b"retry-after") is None
+    Stage(tmp_path, test, [hangs(9.0)])
+
+
+def test_the_run_line_starts_serves_ends_on_sigterm_and_says_what_is_wrong(tmp_path: Path) -> None:
+    root = Path(__file__).parents[2]
+    run = tomllib.loads((root / "deploy/balancer.toml").read_text())["run"]
+    listen = free_address()
+    environ = written(tmp_path, listen="{}:{}".format(*listen), known={"index": 1, "snapshot": True, "endpoints": []})
+    one = subprocess.Popen(["/bin/sh", "-c", run], cwd=root, env={"PATH": "/usr/bin:/bin"} | environ,
+                           stderr=subprocess.PIPE)
+    try:
+        said = b""
+        for _ in range(200):
+            try:
+                with socket.create_connection(listen, 1.0) as sock:
+                    sock.sendall(b"GET /_health HTTP/1.1\r\nhost: x\r\n\r\n")
+                    said = sock.recv(1000)
+                break
+            except OSError:
+                time.sleep(0.05)
+        assert said.startswith(b"HTTP/1.1 200")
+        one.send_signal(signal.SIGHUP)
+        time.sleep(0.05)
+        one.send_signal(signal.SIGTERM)
+        assert one.wait(10) == 0
+    finally:
+        one.kill()
+        assert one.stderr
+        one.stderr.close()
+    (tmp_path / "config.json").write_text("{")
+    bad = subprocess.run(["/bin/sh", "-c", run], cwd=root, env={"PATH": "/usr/bin:/bin"} | environ,
+                         capture_output=True)
+    assert bad.returncode == 2 and bad.stderr.count(b"\n") == 1 and b"config.json" in bad.stderr
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -650,3 +650,66 @@
             trial.fresh.setdefault(1, Sample()).add(8)
         desk.umpire.flows[0].found_until = desk.clock + 9 * stuck
         assert (trial.look(True) is Verdict.BACK) is not stuck
+
+
+def test_late_answers_of_servers_without_a_queue_do_not_narrow_the_window() -> None:
+    # Something slowed all servers while none had a queue: the window closed, and next to nothing was relayed.
+    for queue in (0.0, 5.0):
+        desk = Desk(builds=(1, 1), umpires=2, report_columns=("q",))
+        before = desk.umpire.window
+        for _ in range(12):
+            desk.take(0).relay_ended(0, Outcome.HANDLED, True, 2.0, (queue,))
+        assert (desk.umpire.window < before) is (queue > 0)
+
+
+def test_a_relay_that_its_client_gave_up_on_early_blames_nobody() -> None:
+    # Retries came with a tenth of their time left; each counted as a failure of the build that had it.
+    for took, blamed in ((0.1, False), (2.9, True)):
+        desk = on_trial((2, 2))
+        held = desk.take(0)
+        relay = held.relays[0]
+        desk.wait(0.01)
+        relay.server.heard_at = desk.clock
+        held.relay_ended(0, Outcome.LATE, False, took, ())
+        assert bool(desk.umpire.panel.lately) is blamed
+
+
+def test_late_ones_of_before_all_began_anew_are_not_learned_from() -> None:
+    # After a stuck flow was found only the late among the earlier relays were still to end: a good build went back.
+    desk = on_trial((2, 2))
+    held = desk.take(0)
+    desk.wait(0.5)
+    desk.umpire.panel.start_anew()
+    held.relay_ended(0, Outcome.HANDLED, True, 0.5, ())
+    assert not desk.umpire.panel.lately
+    desk.take(0).relay_ended(0, Outcome.HANDLED, True, 0.1, ())
+    assert desk.umpire.panel.lately
+
+
+def test_a_restart_while_all_servers_run_the_trial_goes_on_with_a_part() -> None:
+    # A restarted umpire answered nothing for a whole window, as every server ran the build on trial.
+    desk = Desk(builds=(2, 2), free=2.0, window=30.0, guarded_stages=0, began=100.0, caps=(0.5, 1.0))
+    desk.news(2, 1, Phase.TRIAL, 1.0)
+    for _ in range(100):
+        transaction = desk.take()
+        if transaction.relays:
+            transaction.relay_ended(0, Outcome.HANDLED, True, 0.01, ())
+        desk.wait(0.03)
+    assert 60 <= len(desk.relays) <= 80
+
+
+@pytest.mark.parametrize(("queue", "on"), [(0.0, False), (4.0, True)])
+def test_no_on_after_a_hold_in_vain_while_all_is_slow_and_nothing_waits(queue: float, on: bool) -> None:
+    # A hold in vain made the slowness the new usual: the build that caused it was voted on to all servers.
+    desk = on_trial((1, 1, 2, 2))
+    desk.roster((1, 1, 2, 2), start=desk.clock - 4.0)
+    trial, panel = desk.umpire.trial, desk.umpire.panel
+    assert trial
+    trial.calm = {0: Sample()}
+    for side, place in ((trial.calm, 2), (panel.calm, 7), (panel.lately, 7), (trial.before, 7), (trial.fresh, 7)):
+        for _ in range(300):
+            side.setdefault(0, Sample()).add(place)
+    trial.was_held = True
+    for server in desk.servers:
+        server.queue, server.heard_at = queue, desk.clock
+    assert (trial.look(True) is Verdict.ON) is on
