--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -236,12 +236,13 @@
 
 
 class Relay:
-    judged, ended, may_have_run = False, False, True  # judged: whether it has told on its flows
+    judged = False  # whether it has told on its flows
 
     def __init__(self, transaction: Transaction, server: Server, at: float) -> None:
         self.transaction, self.server, self.at = transaction, server, at
         self.build, self.zone, self.cell = server.build, server.zone, server.cell  # as they were when sent
-        self.old_enough, self.opened = at - server.since >= YOUNG, not server.linked()
+        self.ended, self.may_have_run, self.old_enough = False, True, at - server.since >= YOUNG
+        self.opened = not server.linked()
 
 
 class Transaction:
@@ -324,8 +325,7 @@
             least = 0.0 if outcome is Outcome.HANDLED else FAR
             umpire.ways.setdefault(relay.zone, Pace()).add(max(least, took / self.usual.mean()))
             umpire.best_way = min(w.mean() for w in umpire.ways.values())  # for each server drawn from
-        excused = self.stuck or (cut and took <= SPARE * self.usual.mean())
-        relay.server.relay_ended(outcome, took / self.usual.mean(), fair and relay.old_enough, excused)
+        relay.server.relay_ended(outcome, took / self.usual.mean(), fair and relay.old_enough, self.stuck)
         spoke = outcome in (Outcome.HANDLED, Outcome.ERRORED) or (  # a server lost or cut off blames no build
             outcome is Outcome.LATE and relay.server.heard_at > relay.at and not cut)
         if spoke and fair and relay.server.way() < FAR:
