A hold ends once what was sent in it is beyond doubt faster than before

Excluded: late relays of before the hold (not learned from any more), queues (none told). The same mixture is looked at during the hold, which it is valid for at any time.

--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -236,13 +236,12 @@
 
 
 class Relay:
-    judged = False  # whether it has told on its flows
+    judged, ended, may_have_run = False, False, True  # judged: whether it has told on its flows
 
     def __init__(self, transaction: Transaction, server: Server, at: float) -> None:
         self.transaction, self.server, self.at = transaction, server, at
         self.build, self.zone, self.cell = server.build, server.zone, server.cell  # as they were when sent
-        self.ended, self.may_have_run, self.old_enough = False, True, at - server.since >= YOUNG
-        self.opened = not server.linked()
+        self.old_enough, self.opened = at - server.since >= YOUNG, not server.linked()
 
 
 class Transaction:
@@ -449,12 +448,13 @@
             return Verdict.BACK
         # Guards against a build that slows all servers: all hold it for a while, and again.
         everywhere = doubts(panel.calm, panel.lately, range(FAILED))
-        if self.held_at and now < self.held_at + HELD:
+        if self.held_at:
             if now <= self.held_at + CLEAR:
                 panel.lately, panel.since = {}, now
-            return Verdict.HOLD
-        if self.held_at:  # what helps once may be a trouble that ended just then
-            helps = everywhere < 0 or doubts(panel.lately, self.slow, range(FAILED)) > surely
+            faster = doubts(panel.lately, self.slow, range(FAILED)) > surely  # valid whenever it is looked at
+            if now < self.held_at + HELD and not faster:
+                return Verdict.HOLD
+            helps = faster or everywhere < 0  # what helps once may be a trouble that ended just then
             self.was_held, self.held_at = not helps, 0.0
             self.helped, self.sure_at = self.helped + helps, now + HELD * helps
             panel.calm, panel.lately = panel.calm if helps else merged([panel.lately]), {}
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -713,3 +713,21 @@
     for server in desk.servers:
         server.queue, server.heard_at = queue, desk.clock
     assert (trial.look(True) is Verdict.ON) is on
+
+
+def test_a_hold_ends_once_what_was_sent_in_it_is_beyond_doubt_faster() -> None:
+    # A build that slowed all servers was held for 4.5 s though all was well again after two.
+    desk = on_trial((1, 1, 2, 2))
+    trial, panel = desk.umpire.trial, desk.umpire.panel
+    assert trial
+    panel.calm[0] = Sample()
+    for at in range(800):
+        (panel.calm[0] if at < 400 else panel.lately.setdefault(0, Sample())).add(2 if at < 400 else 7)
+    assert trial.look(True) is Verdict.NONE and trial.held_at
+    desk.clock += 1.0
+    assert trial.look(True) is Verdict.HOLD and not panel.lately
+    desk.clock += 1.0
+    assert trial.look(True) is Verdict.HOLD
+    for _ in range(200):
+        panel.lately.setdefault(0, Sample()).add(2)
+    assert trial.look(True) is Verdict.BACK and not trial.held_at
