Both lives share one serving part; calls, failures and orders stand in one place

Read once more, the change had written some things again: relays, probes, the wait for what is held and the last line of the log in both lives; the failure of a call, its encoding and its bounds in platform/lines.py beside umpire/caller.py; addresses of discovery and platform in Post beside Orders; a dictionary of ids whose values nobody read; empty words for trail and captures, which Orders now has by default. One piece serves each now: umpire/serving.py, umpire/caller.py, Orders.

Behaviour is as before and the module untouched.

--- a/stepsail/charter/orders.py
+++ b/stepsail/charter/orders.py
@@ -11,6 +11,8 @@
 from stepsail.interface import Charter, Control, Group, Product, Repeat
 
 COLUMNS = {"queue": "q", "inflight": "rif", "util": "busy", "latency_ms": "lat_ms"}  # the module's names
+
+
 def _address(text: str) -> Address:
     host, port = text.rsplit(":", 1)
     return host, int(port)
--- a/stepsail/charter/shape.py
+++ b/stepsail/charter/shape.py
@@ -51,18 +51,18 @@
     leave_within: float
     log_form: str
     log_level: str
-    trail: Path | None
-    trail_survives: str
-    trail_when_full: str
-    trail_commit: float
-    trail_segment: int
-    trail_reserve: int
-    trail_age: float
-    trail_size: int
-    capture: Path | None
-    capture_size: int
-    capture_segment: int
-    capture_age: float
+    trail: Path | None = None  # no trail and no captures unless they are ordered
+    trail_survives: str = ""
+    trail_when_full: str = ""
+    trail_commit: float = 0.0
+    trail_segment: int = 0
+    trail_reserve: int = 0
+    trail_age: float = 0.0
+    trail_size: int = 0
+    capture: Path | None = None
+    capture_size: int = 0
+    capture_segment: int = 0
+    capture_age: float = 0.0
     most_links: int = 0  # connections to all servers together; 0: no bound but each server's own
     link_rest: float = 0.0  # s that a connection rests before it is used again
     link_life: float = 0.0  # s that one may be idle and still be used; 0: as long as the charter says
--- a/stepsail/platform/deployer.py
+++ b/stepsail/platform/deployer.py
@@ -11,7 +11,8 @@
 from stepsail.loop import Loop, Task
 from stepsail.platform import words
 from stepsail.platform.fields import Misfit, number, part, whole
-from stepsail.platform.lines import CallFailed, Lines, call
+from stepsail.platform.lines import Lines, call
+from stepsail.umpire.caller import CallFailed
 from stepsail.umpire.host import Host, Log
 from stepsail.umpire.retry import Backoff
 
--- a/stepsail/platform/discovery.py
+++ b/stepsail/platform/discovery.py
@@ -12,7 +12,8 @@
 from stepsail.loop import Loop, Task
 from stepsail.platform import words
 from stepsail.platform.fields import Misfit, address, number, part, whole
-from stepsail.platform.lines import CallFailed, Lines, call
+from stepsail.platform.lines import Lines, call
+from stepsail.umpire.caller import CallFailed
 from stepsail.umpire.host import Host, Log
 
 FIRST_LINE, SILENT = 3.0, 3.0  # s for a watch to begin; between two of its lines, which come every 2 s
@@ -23,7 +24,7 @@
 class Entry:
     """One server as it was last listed."""
 
-    __slots__ = ("at", "build", "gone_at", "key", "since", "state", "to", "zone")
+    __slots__ = ("build", "gone_at", "key", "since", "state", "to", "zone")
 
     def __init__(self, to: Address, zone: int, state: Listed, since: float, build: int) -> None:
         self.to, self.zone, self.state, self.since, self.build = to, zone, state, since, build
--- a/stepsail/platform/door.py
+++ b/stepsail/platform/door.py
@@ -34,7 +34,7 @@
     def __init__(self, orders: Orders) -> None:
         self.orders = orders
         self.products = {route.path.encode(): route for route in orders.routes}
-        self.ids: dict[bytes, Held] = {}  # of the transactions that are held; as many as those at most
+        self.ids: set[bytes] = set()  # of the transactions that are held; as many as those at most
 
     def hears(self, request: Request, ready: bool) -> Asked | Response:
         path = request.target.partition(b"?")[0]
@@ -66,11 +66,11 @@
                      _whole(more.get(words.EXTRA_TENANT, "")), _whole(more.get(words.EXTRA_KEY, "")),
                      words.AGAIN in told)
 
-    def took(self, request: Request, held: Held) -> None:
-        self.ids[request.header(words.ID) or b""] = held
+    def took(self, held: Held) -> None:
+        self.ids.add(held.request.header(words.ID) or b"")
 
     def parted(self, held: Held) -> None:
-        self.ids.pop(held.request.header(words.ID) or b"", None)
+        self.ids.discard(held.request.header(words.ID) or b"")
 
     def denied(self, held: Held) -> Response:
         after = [(b"retry-after", b"%.3f" % held.stay_away)] if held.stay_away > 0 else []
--- a/stepsail/platform/life.py
+++ b/stepsail/platform/life.py
@@ -14,24 +14,24 @@
 from stepsail.platform.fields import Misfit
 from stepsail.platform.settings import Post
 from stepsail.umpire.door import Door
-from stepsail.umpire.host import Held, Host, Log
+from stepsail.umpire.host import Host, Log
 from stepsail.umpire.ledger import NoLedger
 from stepsail.umpire.nodes import Nodes
+from stepsail.umpire.serving import Serving
 
-LOOK = 0.02  # s between looks whether all that was held is answered
 STILL_COMING = 0.6  # s after SIGTERM in which clients still connect
 READ_AGAIN, READS = 0.2, 10  # s until a file that could not be read is read again; how often
 
 
-class Life:
+class Life(Serving):
     """One umpire on one loop. `reread` gives the configuration as it is now, or raises Misfit."""
 
     def __init__(self, loop: Loop, post: Post, make: MakeUmpire, log: Log, reread: Callable[[], Post]) -> None:
         self.loop, self.post, self.make, self.log, self.reread = loop, post, make, log, reread
         orders = self.orders = post.orders
         self.host = Host(loop, orders, log, False)
-        self.discovery = Discovery(loop, orders, self.host, log, post.discovery, post.ahead)
-        self.deployer = Deployer(loop, orders, self.host, log, post.deployer, orders.seed or 0)
+        self.discovery = Discovery(loop, orders, self.host, log, orders.roster, post.ahead)
+        self.deployer = Deployer(loop, orders, self.host, log, orders.conveyor, orders.seed or 0)
         self.nodes = Nodes(loop, orders, self.host, PlatformWire(orders, self.discovery.place, post.reports))
         self.discovery.moved = self.nodes.let_go_of
         self.door = Door(loop, orders, self.host, log, NoLedger(), PlatformSpeech(orders))
@@ -39,15 +39,6 @@
         self.moving: Task | None = None
 
     # what the module asks of its host's doers; umpires have no way to speak to each other here
-    def relay(self, held: Held, server: ServerHandle, until: float) -> Task:
-        return self.nodes.relay(held, server, until)
-
-    def probe(self, server: ServerHandle) -> None:
-        self.nodes.probe(server)
-
-    def let_go(self, server: ServerHandle) -> None:
-        self.nodes.let_go(server)
-
     def vote(self, build: int, stage: int, verdict: Verdict) -> None:
         self.deployer.vote(build, stage, verdict)
 
@@ -96,10 +87,10 @@
                 self.log.warning("settings_not_read", error=str(trouble)[:300])
                 self.loop.sleep(READ_AGAIN)
                 continue
-            self.log.info("moved", discovery="{}:{}".format(*post.discovery),
-                          deployer="{}:{}".format(*post.deployer))
-            self.discovery.move(post.discovery)
-            self.deployer.move(post.deployer)
+            discovery, deployer = post.orders.roster, post.orders.conveyor
+            self.log.info("moved", discovery="{}:{}".format(*discovery), deployer="{}:{}".format(*deployer))
+            self.discovery.move(discovery)
+            self.deployer.move(deployer)
             return
 
     def _leave(self, sweep: Task) -> int:
@@ -107,11 +98,7 @@
         self.door.close_soon()
         self.loop.sleep(STILL_COMING)
         self.door.leave()
-        listener = self.door.listener
-        with self.loop.timeout(self.orders.leave_within) as scope:
-            while (listener and listener.open) or any(not h.closed for h in self.host.held.values()):
-                self.loop.sleep(LOOK)
+        in_time = self.answer_held()
         sweep.cancel()
-        left = sum(not h.closed for h in self.host.held.values())
-        self.log.info("left", taken=self.host.taken, unanswered=left, **self.host.counts)
-        return 3 if scope.expired else 0
+        self.tell_left()
+        return 0 if in_time else 3
--- a/stepsail/platform/settings.py
+++ b/stepsail/platform/settings.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from stepsail.charter.shape import Address, Orders, Route
+from stepsail.charter.shape import Orders, Route
 from stepsail.charter.told import Settings, pairs_of_object, read_charter
 from stepsail.interface import Repeat
 from stepsail.platform.fields import Misfit, address, part, whole
@@ -26,11 +26,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Post:
-    """Where this umpire stands: its orders, and what only the platform's protocol knows."""
+    """Where this umpire stands: its orders, whose roster is discovery and whose conveyor is the platform, and what
+    only the platform's protocol knows."""
 
     orders: Orders
-    discovery: Address
-    deployer: Address
     news: Any
     known: Any
     reports: bool
@@ -79,9 +78,7 @@
         most_open=min(door, found.whole("Limits.MaxOpen") or door), most_head=MOST_HEAD, most_body=MOST_BODY,
         hold=1 << 62, door_idle=IDLE, slow_sender=SLOW, tenant_header="", subject_header="", subject_secret=b"",
         leave_within=AFTER_TERM + max(p.abandon for p in charter.products), log_form="json", log_level="info",
-        trail=None, trail_survives="", trail_when_full="", trail_commit=0.0, trail_segment=0, trail_reserve=0,
-        trail_age=0.0, trail_size=0, capture=None, capture_size=0, capture_segment=0, capture_age=0.0,
         most_links=sockets - door, link_rest=REST, link_life=LIFE * charter.idle_for, first_within=FIRST,
         spare_idle=SPARE_IDLE)
-    return Post(orders, orders.roster, orders.conveyor, deployer.get("news"), said.get("known"),
+    return Post(orders, deployer.get("news"), said.get("known"),
                 found.word("Stats.Source") not in ("", "none"), ahead)
--- a/stepsail/umpire/door.py
+++ b/stepsail/umpire/door.py
@@ -120,7 +120,7 @@
         slack = self.orders.answer_slack + self.orders.trail_commit
         held = Held(self.number, request, client_until - slack, client_until)
         self.number += 1
-        self.speech.took(request, held)
+        self.speech.took(held)
         try:
             full = len(self.host.held) >= self.orders.most_open or not self.ledger.takes_new()
             if full or held.until <= now:
--- a/stepsail/umpire/life.py
+++ b/stepsail/umpire/life.py
@@ -20,14 +20,14 @@
 from stepsail.umpire.neighbours import Neighbours
 from stepsail.umpire.nodes import Nodes
 from stepsail.umpire.roster import Roster
+from stepsail.umpire.serving import LOOK, Serving
 from stepsail.umpire.speech import OwnSpeech
 from stepsail.umpire.wire import OwnWire
 
-LOOK = 0.02  # s between looks whether all that was held is answered
 FIRST_NEWS = 1.0  # s that a start waits for release control; without news it serves all the same
 
 
-class Daemon:
+class Daemon(Serving):
     """One umpire on one loop."""
 
     def __init__(self, loop: Loop, orders: Orders, make: MakeUmpire, log: Log, verbose: bool = False) -> None:
@@ -53,13 +53,7 @@
     # what the module asks of its host's doers
     def relay(self, held: Held, server: ServerHandle, until: float) -> Task:
         self.account.relayed(getattr(server, "build", -1))
-        return self.nodes.relay(held, server, until)
-
-    def probe(self, server: ServerHandle) -> None:
-        self.nodes.probe(server)
-
-    def let_go(self, server: ServerHandle) -> None:
-        self.nodes.let_go(server)
+        return super().relay(held, server, until)
 
     def vote(self, build: int, stage: int, verdict: Verdict) -> None:
         self.account.note(Kind.VOTE, build=build, stage=stage, verdict=verdict.name.lower(), why=self.host.last_note)
@@ -118,10 +112,7 @@
     def _leave(self, tasks: list[Task]) -> int:
         self.log.info("leaving", held=len(self.host.held))
         self.door.leave()
-        open_streams = self.door.listener.open if self.door.listener else {}
-        with self.loop.timeout(self.orders.leave_within) as scope:
-            while open_streams or any(not h.closed for h in self.host.held.values()):
-                self.loop.sleep(LOOK)
+        in_time = self.answer_held()
         for task in tasks:
             task.cancel()
         if self.orders.roster_kept and self.roster.lines:
@@ -129,6 +120,5 @@
         if self.capture:
             self.capture.close()
         self.account.close()
-        left = sum(not h.closed for h in self.host.held.values())
-        self.log.info("left", taken=self.host.taken, unanswered=left, **self.host.counts)
-        return 3 if scope.expired else 0
+        self.tell_left()
+        return 0 if in_time else 3
--- a/stepsail/umpire/speech.py
+++ b/stepsail/umpire/speech.py
@@ -47,7 +47,7 @@
     def hears(self, request: Request, ready: bool) -> Asked | Response:
         """What is asked for, or the answer to what is no transaction."""
 
-    def took(self, request: Request, held: Held) -> None: ...
+    def took(self, held: Held) -> None: ...
 
     def parted(self, held: Held) -> None:
         """A transaction is answered, or its client has left."""
@@ -89,7 +89,7 @@
         return Asked(product, left, self.tenants.get(request.header(self.tenant_header) or b"", 0),
                      0 if subject is None else self._hashed(subject), request.header(REPEAT) is not None)
 
-    def took(self, request: Request, held: Held) -> None: ...
+    def took(self, held: Held) -> None: ...
 
     def parted(self, held: Held) -> None: ...
 
--- a/tests/platform/test_tables.py
+++ b/tests/platform/test_tables.py
@@ -96,7 +96,7 @@
     speech = PlatformSpeech(post(tmp_path).orders)
     request = Request(b"GET", b"/lookup", [(b"x-call-id", GOOD["x-call-id"].encode())])
     held = Held(0, request, 1.0, 1.0)
-    speech.took(request, held)
+    speech.took(held)
     assert asked(speech, "GET", "/lookup").status == 409
     speech.parted(held)
     assert isinstance(asked(speech, "GET", "/lookup"), Asked) and not speech.ids
