An on that has moved nothing is judged on; what is to go back gets nothing; slowness shows in a second

Checked, by a line each half second of what each umpire believed: the log of evidence that all is slow was -0.5 at the on and 57 three seconds later, and was not looked at any more (consider: only while there is no verdict; may_expose: only a hold kept traffic away). Excluded: queues (sums of 0 to 15), connections, CPU (0.43 s in any second). Also seen: two of three umpires took the hold for vain, as what they held against it was of the first moments of the slowness, and half of the servers for all traffic are full (look: slow); the start of the slowness was thinned out among all of the last seconds (1.2 s lost).

Mended: an on is judged on until the stage moves and turns into a hold or back; what has to go back or is held gets nothing while half of the servers run earlier builds; the newest third of a fading's time is looked at by itself; what ends in the first part of a hold counts as how slow all had become. After a hold in vain there is no on until the stage is old, in place of a look at queues.

--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -1,9 +1,7 @@
 """All decisions of one umpire: where a transaction goes, when it is denied, how a build on trial is judged.
 
-A host makes `Umpire(charter, host, seed)` and calls it: `meet` for a new server (its handle is then told
-`listed`, `probed`, `contested`), `roster_read` after each list, `take` for a transaction (its handle is told
-`relay_ended`, `client_left`), and other calls as things happen. What it wants it asks of `host`. Both sides'
-types stand in `stepsail/interface.py`; the test keeps its source's words (`docs/design.md`).
+A host makes `Umpire(charter, host, seed)`, calls it and the handles that `meet` and `take` give out, and does
+what `host` is asked. Types are in `stepsail/interface.py`; the test keeps its words (`docs/design.md`).
 """
 
 from __future__ import annotations
@@ -32,7 +30,7 @@
 LINKS, SQUEEZED = 2, 0.05  # connections kept idle while more than this share of connects is refused at once
 CROWDED, KEEN = 0.2, 0.08  # share of relays refused from which no build is judged; the part of the latest one
 OTHERS = 0.5  # least share of servers of earlier builds for a hold, as they do all; of full ones in overload
-FADE = (0.6, 3.0, 0.5, 0.8)  # abandon times, and s, between fadings; what of the latest, and of own, is left
+FADE = (0.6, 3.0, 0.5, 0.8, 0.3)  # abandon times, s, between fadings; of the latest, own, left; for newest
 JUDGES, TELL_EVERY = 3, 1.0  # umpires that pool what all saw, as one or two may be cut off; s between words
 YOUNG, PATIENT, MOST_START = 3.0, 3.7, 11.7  # s from a start to evidence; to an on; if servers are missing
 RENEW, VOTE_PAUSE, BURST, STAND_BY = 0.7, 0.5, 2.0, 3.0  # of a vote's life; s: recast, at once, others first
@@ -199,9 +197,6 @@
                 self.load, self.queue = (told + len(self.out), told) if held == "q" else (told, self.queue)
                 self.open_then, self.heard_at = len(self.out), self.umpire.host.clock
 
-    def queues(self) -> bool:
-        return self.queue > 0 or self.umpire.host.clock - self.heard_at > OLD_LOAD
-
     def awake(self) -> bool:
         return self.state is Listed.READY and self.rest_until <= self.umpire.host.clock
 
@@ -334,7 +329,7 @@
             word = (relay.server, relay.build, self.product.index, bisect_left(EDGES, share))
             if not self.stuck:
                 # Guards against servers slow without being full: fewer relays make none faster.
-                if timely or relay.server.queues():
+                if timely or relay.server.queue > 0 or umpire.host.clock - relay.server.heard_at > OLD_LOAD:
                     umpire.widen(timely)
                 # Guards against blaming a build for a crowd, or by late ones of before all began anew.
                 if relay.old_enough and umpire.crowded < CROWDED and relay.at >= umpire.panel.since:
@@ -361,6 +356,7 @@
 
 class Panel:
     since = -inf  # what was sent before is not learned from
+    newest_until, every, newest = 0.0, FADE[1], dict[int, Sample]()  # so in a captured state of before
 
     def __init__(self, umpire: Umpire) -> None:
         self.umpire, charter = umpire, umpire.charter
@@ -373,25 +369,34 @@
         sure = self.pools or voices == 1 or not charter.neighbours
         self.goes_on = sure and charter.control is not Control.CLOCK
         self.level = LEVEL / (len(self.judges) if self.pools else voices)
-        self.calm, self.lately, self.tallies = dict[int, Sample](), dict[int, Sample](), dict[int, Samples]()
+        self.calm, self.tallies = dict[int, Sample](), dict[int, Samples]()
+        self.lately, self.newest = dict[int, Sample](), dict[int, Sample]()
         self.fade_at, self.new = 0.0, False
+        self.every = min(FADE[1], FADE[0] * max((p.abandon for p in charter.products), default=1.0))
 
     def learn(self, server: Server, build: int, product: int, place: int, own: bool = True) -> None:
-        trial = self.umpire.trial
-        sides = trial.sides(build) + ((server.seen,) if build == server.build else ()) if trial else ()
-        for side in (*sides, self.lately):
+        self.fade()
+        sides, trial = [self.lately, self.newest], self.umpire.trial
+        if trial:
+            mine = [trial.fresh] * (build == trial.build)
+            sides += [trial.before, trial.all_before] if build < trial.build else mine
+            sides += [server.seen] * (build == server.build)
+        for side in sides:
             side.setdefault(product, Sample()).add(place)
         if own and self.umpire.charter.neighbours:
             self.words.append((server, build, product, place))
         self.new = True
 
+    def forget_lately(self) -> None:
+        self.lately, self.newest, self.since = {}, {}, self.umpire.host.clock
+
     def start_anew(self) -> None:
         """What was seen is not the servers' nor the builds' doing."""
-        self.lately, self.since, trial = {}, self.umpire.host.clock, self.umpire.trial
+        self.forget_lately()
         for server in self.umpire.servers:
             server.seen, server.silent, server.rest_until = {}, 0, 0.0
-        if trial:
-            trial.fresh, trial.before = {}, {}
+        if self.umpire.trial:
+            self.umpire.trial.fresh, self.umpire.trial.before = {}, {}
 
     def tell(self) -> None:
         """Each umpire's outcomes go to a few judges, so that what is said grows with transactions alone."""
@@ -405,9 +410,11 @@
             umpire.host.tell_stuck(stuck)
 
     def fade(self) -> None:
-        if self.umpire.host.clock >= self.fade_at:
-            longest = max(p.abandon for p in self.umpire.charter.products)
-            self.fade_at = self.umpire.host.clock + min(FADE[1], FADE[0] * longest)
+        now = self.umpire.host.clock
+        if now >= self.newest_until:
+            self.newest, self.newest_until = {}, now + FADE[4] * self.every
+        if now >= self.fade_at:
+            self.fade_at = now + self.every
             for samples, kept in ((self.lately, FADE[2]), *((s.seen, FADE[3]) for s in self.umpire.servers)):
                 for sample in samples.values():
                     sample.bins, sample.n = [x * kept for x in sample.bins], sample.n * kept
@@ -415,18 +422,15 @@
 
 class Trial:
     verdict = found = Verdict.NONE
-    was_held, slow, calm = False, dict[int, Sample](), dict[int, Sample]()  # in this stage, in vain; then
+    was_held, clear, slow = False, False, dict[int, Sample]()  # held in vain; what came before the hold ended
 
     def __init__(self, umpire: Umpire, build: int, stage: int, phase: Phase, began: float) -> None:
         self.umpire, self.build, self.stage, self.phase, self.began = umpire, build, stage, phase, began
         self.before, self.fresh = dict[int, Sample](), dict[int, Sample]()
         self.cast_at = self.ask_at = self.held_at = self.hold_until = self.sure_at = 0.0
-        self.all_before, self.helped, self.calm = dict[int, Sample](), 0, umpire.panel.calm
+        self.all_before, self.helped = dict[int, Sample](), 0
         if (last := umpire.trial) and last.build == build:  # faults are rare, and holds few
-            self.all_before, self.helped, self.calm = last.all_before, last.helped, last.calm
-
-    def sides(self, build: int) -> tuple[Samples, ...]:
-        return (self.before, self.all_before) if build < self.build else (self.fresh,) * (build == self.build)
+            self.all_before, self.helped = last.all_before, last.helped
 
     def look(self, settled: bool) -> Verdict:
         umpire, panel, now = self.umpire, self.umpire.panel, self.umpire.host.clock
@@ -446,57 +450,48 @@
                 faults > surely and spread > 0) or (common > log(2 / LEVEL) and faults > LEAN):
             umpire.host.note(f"back: gap {wide:.2f} ± {around:.2f}, faults {faults:.1f}, counts {common:.1f}")
             return Verdict.BACK
-        # Guards against a build that slows all servers: all hold it for a while, and again.
-        everywhere = doubts(panel.calm, panel.lately, range(FAILED))
+        # Guards against a build that slows all servers: all hold it. The newest show it sooner.
+        slow = max(panel.lately, panel.newest, key=lambda sample: doubts(panel.calm, sample, range(FAILED)))
+        everywhere = doubts(panel.calm, slow, range(FAILED))
         if self.held_at:
-            if now <= self.held_at + CLEAR:
-                panel.lately, panel.since = {}, now
-            faster = doubts(panel.lately, self.slow, range(FAILED)) > surely  # valid whenever it is looked at
+            if not self.clear and now > self.held_at + CLEAR:  # what ended till then was mostly sent before
+                self.clear, self.slow = True, merged([self.slow, panel.lately])
+                panel.forget_lately()
+            faster = self.clear and doubts(panel.lately, self.slow, range(FAILED)) > surely
             if now < self.held_at + HELD and not faster:
                 return Verdict.HOLD
             helps = faster or everywhere < 0  # what helps once may be a trouble that ended just then
             self.was_held, self.held_at = not helps, 0.0
-            self.helped, self.sure_at = self.helped + helps, now + HELD * helps
+            # Guards against an on by what a hold in vain, of a build that slows all, has made the usual.
+            self.helped, self.sure_at = self.helped + helps, now + HELD if helps else self.began + MOST_START
             panel.calm, panel.lately = panel.calm if helps else merged([panel.lately]), {}
             return Verdict.BACK if helps and self.helped > (umpire.cap < DOSE) else Verdict.NONE
         # Guards against holds in an overload until one seems to help: one a stage, by those whom all follow.
         all_hold = panel.pools or not umpire.charter.neighbours
-        can_hold = self.phase is Phase.TRIAL and all_hold and not self.was_held and self.can_be_held()
+        can_hold = self.phase is Phase.TRIAL and all_hold and not self.was_held and umpire.has_others()
         # Guards against blaming a build for its cold servers: what they lack comes back as they get warm.
         if everywhere > surely and can_hold and self.settled(min(PATIENT, umpire.charter.cold_for)):
-            self.held_at, self.slow = now, merged([panel.lately])
-        # Guards against an on, after a hold in vain, while all is slow though most tell that none wait.
-        full, ready = sum(s.queues() for s in umpire.ready), len(umpire.ready)
-        none = full <= OTHERS * ready and now < self.began + MOST_START
-        slower = none and doubts(self.calm, panel.lately, range(FAILED)) >= surely / 2
-        sound = (not slower and spread < LEAN and faults < surely / 2 and common < LEAN
-                 and (everywhere < surely / 2 or not can_hold))
+            self.held_at, self.clear, self.slow, panel.lately = now, False, merged([slow]), {}
+        sound = spread < LEAN and faults < surely / 2 and common < LEAN and (
+            everywhere < surely / 2 or not can_hold)
         enough = wide + around < TOLERANCE or max(n, sum(x.n for x in counted.values())) >= LEAST
         return Verdict.ON if settled and sound and enough and now >= self.sure_at else Verdict.NONE
 
-    def share(self) -> float:
-        shares = self.umpire.charter.shares
-        return shares[min(self.stage, len(shares) - 1)]
-
-    def can_be_held(self) -> bool:
-        """Guards against a hold while all, or soon all, are new servers: it denied all there was."""
-        ready, replaces = self.umpire.ready, self.umpire.charter.replaces
-        olds = sum(s.build < self.build for s in ready)
-        return olds >= OTHERS * len(ready) and (not replaces or self.share() <= 1 - OTHERS)
-
     def settled(self, patience: float = PATIENT) -> bool:
         """Guards against an on too early: a stage's servers start, and are listed, one by one and late."""
         ready, charter, now = self.umpire.ready, self.umpire.charter, self.umpire.host.clock
-        fresh = [s.since for s in ready if s.build == self.build]
+        fresh, share = [s.since for s in ready if s.build == self.build], charter.shares[:self.stage + 1][-1]
         places = len(ready) - (0 if charter.replaces else len(fresh))
-        complete = len(fresh) >= max(1, ceil(self.share() * places - 1e-6)) or now - self.began >= MOST_START
+        complete = len(fresh) >= max(1, ceil(share * places - 1e-6)) or now - self.began >= MOST_START
         return self.phase is Phase.TRIAL and complete and now - max(fresh, default=inf) >= patience
 
     def reach(self, verdict: Verdict, heard: bool) -> None:
         """Guards against hundreds of votes at once, or on a stage that another's vote has moved already."""
         if verdict is Verdict.HOLD:
             self.hold_until = self.umpire.host.clock + 2 * TELL_EVERY
-        elif verdict is not self.verdict:
+            if self.verdict is Verdict.ON:  # guards against one cast, or lost, before all turned slow
+                self.verdict, self.ask_at = verdict, self.umpire.host.clock
+        elif verdict not in (Verdict.NONE, self.verdict):
             umpire, self.verdict, self.umpire.panel.tell_at = self.umpire, verdict, 0.0
             first = not heard and (verdict is Verdict.BACK or umpire.charter.me in umpire.panel.judges)
             late = STAND_BY * (umpire.charter.control is Control.ANY) + umpire.vote_spread * umpire.chance()
@@ -504,7 +499,7 @@
 
     def consider(self) -> None:
         umpire, now = self.umpire, self.umpire.host.clock
-        if self.verdict is Verdict.NONE and umpire.panel.new:
+        if self.verdict is not Verdict.BACK and umpire.panel.new:  # an on that moved nothing may turn
             self.found, umpire.panel.new = self.look(self.settled()), False
             if umpire.panel.goes_on or self.found is not Verdict.ON:
                 self.reach(self.found, False)
@@ -595,8 +590,7 @@
                 self.panel.learn(server, build, product, place, False)
 
     def judge_product(self, product: int, place: int) -> None:
-        """What another umpire saw. It names no tenant: of several, one may make a product look stuck."""
-        told = self.charter.products[product]
+        told = self.charter.products[product]  # no tenant is: of several, one may make a product look stuck
         if len(self.charter.tenant_shares) > 1 or 0 < place <= len(EDGES) and (
                 EDGES[place - 1] >= told.target / told.abandon):
             return  # a late one was told of when it was overdue
@@ -640,7 +634,6 @@
         return self.allowances[transaction.product.index if self.charter.by_product else 0]
 
     def binds(self, build: int) -> bool:
-        """Whether a build's answer keeps a key from earlier ones."""
         return self.charter.one_way and build >= self.build + (self.phase is not Phase.TRIAL)
 
     def on_trial(self, build: int) -> bool:
@@ -655,8 +648,16 @@
         # Guards against a restart inside a window: its forgotten life may have used all.
         free, part = (self.charter.free, 1.0) if start >= self.began else (0.0, FORGOTTEN * (told[1] >= 1))
         left = free + part * told[1] * taken.since(start + SLIP) - sent.since(start - SLIP)
-        held = self.trial and self.host.clock < self.trial.hold_until and self.trial.can_be_held()
-        return not (guarded or held) and told[1] > 0 and left >= 1
+        return not (guarded or self.shuns()) and told[1] > 0 and left >= 1
+
+    def shuns(self) -> bool:
+        """Guards against a build that is held, or has to go back, where others are left to do its work."""
+        trial, back = self.trial, self.phase is Phase.REVERTING
+        held = trial and (trial.verdict is Verdict.BACK or self.host.clock < trial.hold_until)
+        return bool(back or held) and self.has_others()
+
+    def has_others(self) -> bool:
+        return sum(s.build < self.build for s in self.ready) >= OTHERS * len(self.ready)
 
     def choose(self, transaction: Transaction) -> Server | None:
         now, tried = self.host.clock, [r.server for r in transaction.relays]
@@ -677,8 +678,7 @@
         return self.pick(side, transaction.key) if side else None
 
     def homes(self, servers: Sequence[Server], key: int) -> list[Server]:
-        """The servers that all umpires send a key to, second and first: they work faster for keys met lately.
-        Highest random weight: servers that come and go move no other key."""
+        """Two servers, to which all send a key: faster for keys met lately. By highest random weight."""
         told = self.charter.report_columns and not self.charter.reports_by_probe  # else none looks crowded
         if not (self.charter.warm_keys and told and key and self.chance() >= self.connects.mean()):
             return []
@@ -688,8 +688,7 @@
         return [servers[at] for at in reversed(nlargest(2, range(len(ranks)), key=ranks.__getitem__))]
 
     def pick(self, servers: Sequence[Server], key: int = 0) -> Server:
-        """Two random choices of few servers, whose connections stay open; a cold one is never the better. A
-        key's homes are, while they are not crowded, and warm: one hot key could fell a cold one."""
+        """Two random choices of few, linked servers; a key's homes while warm and not crowded."""
         now, homes = self.host.clock, self.homes(servers, key)
         kept = max(FEWEST, self.taken.since(now - self.charter.idle_for / 2)) / len(self.ready)
         if any(s.linked() for s in servers) and self.chance() < self.connects.mean():
