--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -375,7 +375,6 @@
         self.every = min(FADE[1], FADE[0] * max((p.abandon for p in charter.products), default=1.0))
 
     def learn(self, server: Server, build: int, product: int, place: int, own: bool = True) -> None:
-        self.fade()
         sides, trial = [self.lately, self.newest], self.umpire.trial
         if trial:
             mine = [trial.fresh] * (build == trial.build)
--- a/tests/capture/test_kept.py
+++ b/tests/capture/test_kept.py
@@ -13,6 +13,7 @@
 from stepsail import balance
 from stepsail.capture.blocks import read_segment
 from stepsail.capture.folder import replay_stretch
+from stepsail.capture.state import freeze, thaw
 from stepsail.capture.writer import fingerprint
 
 FILES = sorted((Path(__file__).parent.parent / "captures").glob("*.cap"))
@@ -28,3 +29,12 @@
         assert found.first is None
     elif found.first:
         assert not found.first.replayed.raised or found.first.captured.raised
+
+
+def test_an_older_state_shares_no_default_with_others() -> None:
+    # A state of before the newest sample was kept filled the class's own, and so each other umpire's.
+    old = balance.Panel.__new__(balance.Panel)
+    old.__dict__.update(since=1.0)
+    one, other = (thaw(freeze(old, {}), balance, {}) for _ in range(2))
+    one.newest[0] = balance.Sample()
+    assert not other.newest and not balance.Panel.newest
