What a server cannot use is sent once, answered at once and blames no build

Excluded: spoilt answers (none), cold or slow servers (times as before). At fault: platform/boxes.py outcome took a 4xx for an error of the server, so that the module tried the next one. Now it ends the transaction as errored, and the relay counts as if it had never left.

--- a/stepsail/platform/boxes.py
+++ b/stepsail/platform/boxes.py
@@ -20,13 +20,25 @@
          Close.NO_CONNECTION: Outcome.BROKEN, Close.BROKE: Outcome.BROKEN, Close.SPOILT: Outcome.ERRORED}
 
 
+def unusable(answer: Response) -> bool:
+    """Whether the server cannot use the request itself.
+
+    Guards against bad clients: each of their requests was sent six times, and as many errors, all within some
+    milliseconds, sent a good build back. Harms where one server alone mistakes a request that another would take.
+    """
+    return 400 <= answer.status < 500
+
+
 def outcome(close: Close, all_written: bool, answer: Response | None) -> Outcome:
     """A server begins at the last byte: what broke before that never ran, what broke after it may have.
 
     An answer that cannot be read is an error, not a reset: the server is there and has spoken. Only a 503 or
-    504 that says so never ran, and only a whole 200 with a body is handled.
+    504 that says so never ran, and only a whole 200 with a body is handled. A 4xx is about the request: it says
+    nothing on the server or its build, as if it had never left.
     """
     if close is Close.ANSWERED and answer is not None:
+        if unusable(answer):
+            return Outcome.UNSENT
         if answer.status in (503, 504) and answer.header(words.NOT_RUN) == b"1":
             return Outcome.FULL
         return Outcome.HANDLED if answer.status == 200 and answer.body and all_written else Outcome.ERRORED
@@ -49,6 +61,9 @@
     def ended(self, close: Close, progress: Progress, answer: Response | None) -> Outcome:
         return outcome(close, 0 < progress.whole <= progress.written, answer)
 
+    def unusable(self, answer: Response) -> bool:
+        return unusable(answer)
+
     def report(self, answer: Response) -> tuple[float, ...]:
         return self._values(answer.header(words.REPORT) or b"") if self.reports else ()
 
--- a/stepsail/umpire/nodes.py
+++ b/stepsail/umpire/nodes.py
@@ -78,6 +78,8 @@
             close = self._pass_on(held, number, node, answer, until)
         ended = self.wire.ended(close, progress, answer)
         report = self.wire.report(answer) if answer else ()
+        if answer is not None and self.wire.unusable(answer):
+            held.close("errored")  # the module hears of it as the end of all
         if answer is not None and ended is Outcome.HANDLED and number != held.streams:
             answer.headers = self.wire.passed_on(answer, node.address)
         took = max(0.0, self.loop.now() - start - progress.lay)
--- a/stepsail/umpire/wire.py
+++ b/stepsail/umpire/wire.py
@@ -37,6 +37,9 @@
 
     def ended(self, close: Close, progress: Progress, answer: Response | None) -> Outcome: ...
 
+    def unusable(self, answer: Response) -> bool:
+        """Whether the server says that it cannot use the request itself, so that no other one will."""
+
     def report(self, answer: Response) -> tuple[float, ...]: ...
 
     def passed_on(self, answer: Response, server: bytes) -> Headers:
@@ -91,6 +94,9 @@
         says = answer is not None and any(name == NOT_RUN for name, _ in answer.headers)
         return outcome(close, progress.written, answer.status if answer else 0, says)
 
+    def unusable(self, answer: Response) -> bool:
+        return False  # such an answer is the client's to read: it is handled
+
     def report(self, answer: Response) -> tuple[float, ...]:
         """The values of a load report by the charter's columns; empty unless all are there and are numbers."""
         columns = self.orders.charter.report_columns
