--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -426,7 +426,7 @@
 
     def __init__(self, umpire: Umpire, build: int, stage: int, phase: Phase, began: float) -> None:
         self.umpire, self.build, self.stage, self.phase, self.began = umpire, build, stage, phase, began
-        self.before, self.fresh, self.all_before = (dict[int, Sample]() for _ in "123")
+        self.before, self.fresh, self.all_before, self.slow = (dict[int, Sample]() for _ in "1234")
         self.cast_at = self.ask_at = self.held_at = self.hold_until = self.sure_at = 0.0
         if (last := umpire.trial) and last.build == build:  # faults are rare, and holds few
             self.all_before, self.helped = last.all_before, last.helped
--- a/stepsail/capture/state.py
+++ b/stepsail/capture/state.py
@@ -109,9 +109,10 @@
             elif kind == "d":
                 one.update(zip(map(value, node[1]), map(value, node[2]), strict=True))
             elif kind == "o":
-                # What came after the capture has an empty default in its class, which none may fill for all.
-                one.__dict__.update({name: {} for name, default in vars(type(one)).items() if default == {}})
                 one.__dict__.update(zip(node[2], map(value, node[3]), strict=True))
+                # What came after the capture has an empty default in its class, which none may fill for all.
+                later = [name for name, default in vars(type(one)).items() if default == {}]
+                one.__dict__.update({name: {} for name in later if name not in one.__dict__})
         return made[0]
     except (msgspec.DecodeError, IndexError, TypeError, ValueError, KeyError, AttributeError) as trouble:
         raise NoState(f"{type(trouble).__name__}: {trouble}") from None
