--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -29,7 +29,7 @@
 AT_HOME, LEAST_WEIGHT = 0.7, 1e-9  # of a home's cost at which another is as good; weight of the worst server
 LINKS, SQUEEZED = 2, 0.05  # connections kept idle while more than this share of connects is refused at once
 CROWDED, KEEN = 0.2, 0.08  # share of relays refused from which no build is judged; the part of the latest one
-OTHERS = 0.5  # least share of servers of earlier builds for a hold, as they do all; of full ones in overload
+OTHERS = 0.5  # least share of servers of earlier builds for a hold or a back, as they then do all
 FADE = (0.6, 3.0, 0.5, 0.8, 0.3)  # abandon times, s, between fadings; of the latest, own, left; for newest
 JUDGES, TELL_EVERY = 3, 1.0  # umpires that pool what all saw, as one or two may be cut off; s between words
 YOUNG, PATIENT, MOST_START = 3.0, 3.7, 11.7  # s from a start to evidence; to an on; if servers are missing
@@ -357,7 +357,7 @@
 
 class Panel:
     since = -inf  # what was sent before is not learned from
-    newest_until, every, newest = 0.0, FADE[1], dict[int, Sample]()  # so in a captured state of before
+    newest_until, newest = 0.0, dict[int, Sample]()  # so in a captured state from before they were kept
 
     def __init__(self, umpire: Umpire) -> None:
         self.umpire, charter = umpire, umpire.charter
@@ -373,14 +373,13 @@
         self.calm, self.tallies = dict[int, Sample](), dict[int, Samples]()
         self.lately, self.newest = dict[int, Sample](), dict[int, Sample]()
         self.fade_at, self.new = 0.0, False
-        self.every = min(FADE[1], FADE[0] * max((p.abandon for p in charter.products), default=1.0))
 
     def learn(self, server: Server, build: int, product: int, place: int, own: bool = True) -> None:
         sides, trial = [self.lately, self.newest], self.umpire.trial
-        if trial:
-            mine = [trial.fresh] * (build == trial.build)
-            sides += [trial.before, trial.all_before] if build < trial.build else mine
-            sides += [server.seen] * (build == server.build)
+        if trial and build <= trial.build:
+            sides += [trial.before, trial.all_before] if build < trial.build else [trial.fresh]
+        if trial and build == server.build:
+            sides.append(server.seen)
         for side in sides:
             side.setdefault(product, Sample()).add(place)
         if own and self.umpire.charter.neighbours:
@@ -410,11 +409,12 @@
             umpire.host.tell_stuck(stuck)
 
     def fade(self) -> None:
-        now = self.umpire.host.clock
+        now, products = self.umpire.host.clock, self.umpire.charter.products
+        every = min(FADE[1], FADE[0] * max((p.abandon for p in products), default=1.0))
         if now >= self.newest_until:
-            self.newest, self.newest_until = {}, now + FADE[4] * self.every
+            self.newest, self.newest_until = {}, now + FADE[4] * every
         if now >= self.fade_at:
-            self.fade_at = now + self.every
+            self.fade_at = now + every
             for samples, kept in ((self.lately, FADE[2]), *((s.seen, FADE[3]) for s in self.umpire.servers)):
                 for sample in samples.values():
                     sample.bins, sample.n = [x * kept for x in sample.bins], sample.n * kept
@@ -422,7 +422,7 @@
 
 class Trial:
     verdict = found = Verdict.NONE
-    was_held, clear, helped, slow = False, False, 0, dict[int, Sample]()  # in vain; what was before has ended
+    was_held, clear, helped, slow = False, False, 0, dict[int, Sample]()  # held in vain; hold clear of before
 
     def __init__(self, umpire: Umpire, build: int, stage: int, phase: Phase, began: float) -> None:
         self.umpire, self.build, self.stage, self.phase, self.began = umpire, build, stage, phase, began
@@ -450,8 +450,8 @@
             umpire.host.note(f"back: gap {wide:.2f} ± {around:.2f}, faults {faults:.1f}, counts {common:.1f}")
             return Verdict.BACK
         # Guards against a build that slows all servers: all hold it. The newest show it sooner.
-        slow = max(panel.lately, panel.newest, key=lambda sample: doubts(panel.calm, sample, range(FAILED)))
-        everywhere = doubts(panel.calm, slow, range(FAILED))
+        sides = [(doubts(panel.calm, side, range(FAILED)), side) for side in (panel.lately, panel.newest)]
+        everywhere, slow = max(sides, key=lambda pair: pair[0])
         if self.held_at:
             if not self.clear and now > self.held_at + CLEAR:  # what ended till then was mostly sent before
                 self.clear, self.slow = True, merged([self.slow, panel.lately])
--- a/stepsail/capture/state.py
+++ b/stepsail/capture/state.py
@@ -111,8 +111,8 @@
             elif kind == "o":
                 one.__dict__.update(zip(node[2], map(value, node[3]), strict=True))
                 # What came after the capture has an empty default in its class, which none may fill for all.
-                later = [name for name, default in vars(type(one)).items() if default == {}]
-                one.__dict__.update({name: {} for name in later if name not in one.__dict__})
+                for name in [n for n, default in vars(type(one)).items() if default == {}]:
+                    one.__dict__.setdefault(name, {})
         return made[0]
     except (msgspec.DecodeError, IndexError, TypeError, ValueError, KeyError, AttributeError) as trouble:
         raise NoState(f"{type(trouble).__name__}: {trouble}") from None
--- a/stepsail/umpire/nodes.py
+++ b/stepsail/umpire/nodes.py
@@ -44,7 +44,7 @@
 
 
 class Nodes:
-    """Bounds: `server_connections` to each server, `most_links` to all; idle ones end after `idle_for`."""
+    """Bounds: `server_connections` to each server, `most_links` to all; idle ones end as `IdleLife` says."""
 
     def __init__(self, loop: Loop, orders: Orders, host: Host, wire: Wire) -> None:
         self.loop, self.orders, self.host, self.wire = loop, orders, host, wire
@@ -212,7 +212,8 @@
         """Close what has been idle too long, for ever."""
         while True:
             self.loop.sleep(SWEEP)
-            before = self.loop.now() - self.idle_life.life(self.loop.now())
+            now = self.loop.now()
+            before = now - self.idle_life.life(now)
             for node in tuple(self.nodes.values()):
                 while node.idle and (node.idle[0].used_at < before or node.idle[0].stale()):
                     self._end(node, node.idle.popleft())
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -102,6 +102,13 @@
         desk.wait(0.1)
 
 
+def filled(*sides: tuple[dict[int, Sample], int], count: int = 300, product: int = 0) -> None:
+    """Add as many outcomes in one place to each side."""
+    for side, place in sides:
+        for _ in range(count):
+            side.setdefault(product, Sample()).add(place)
+
+
 def on_trial(builds: tuple[int, ...]) -> Desk:
     desk = Desk(builds=builds, caps=(1.0, 1.0), shares=(0.5, 1.0), guarded_stages=0)
     desk.news(2, 0, Phase.TRIAL, 1.0)
@@ -263,9 +270,7 @@
     desk = on_trial((1,) * olds + (2,) * 2)
     trial, panel = desk.umpire.trial, desk.umpire.panel
     assert trial
-    panel.calm[0] = Sample()
-    for at in range(800):
-        (panel.calm[0] if at < 400 else panel.lately.setdefault(0, Sample())).add(2 if at < 400 else 7)
+    filled((panel.calm, 2), (panel.lately, 7), count=400)
     panel.new = True
     desk.wait(0.3)
     assert bool(trial.held_at) is bool(olds)
@@ -606,9 +611,7 @@
     trial, panel = desk.umpire.trial, desk.umpire.panel
     assert trial
     trial.was_held = in_vain
-    for place, side in ((2, panel.calm), (7, panel.lately)):
-        for _ in range(400):
-            side.setdefault(0, Sample()).add(place)
+    filled((panel.calm, 2), (panel.lately, 7), count=400)
     panel.new = True
     desk.wait(0.3)
     assert bool(trial.held_at) is held
@@ -644,10 +647,7 @@
         desk.take(0).relay_ended(0, Outcome.HANDLED, True, 0.1, ())
         trial = desk.umpire.trial
         assert trial
-        for _ in range(300):
-            trial.before.setdefault(1, Sample()).add(2)
-            trial.all_before.setdefault(1, Sample()).add(2)
-            trial.fresh.setdefault(1, Sample()).add(8)
+        filled((trial.before, 2), (trial.all_before, 2), (trial.fresh, 8), product=1)
         desk.umpire.flows[0].found_until = desk.clock + 9 * stuck
         assert (trial.look(True) is Verdict.BACK) is not stuck
 
@@ -698,12 +698,6 @@
     assert 60 <= len(desk.relays) <= 80
 
 
-def filled(*sides: tuple[dict[int, Sample], int], count: int = 300) -> None:
-    for side, place in sides:
-        for _ in range(count):
-            side.setdefault(0, Sample()).add(place)
-
-
 def test_after_a_hold_in_vain_there_is_no_on_until_the_stage_is_old() -> None:
     # A hold in vain made the slowness the new usual: the build that caused it was voted on to all servers.
     desk = on_trial((1, 1, 2, 2))
@@ -774,9 +768,7 @@
     desk = on_trial((1, 1, 2, 2))
     trial, panel = desk.umpire.trial, desk.umpire.panel
     assert trial
-    panel.calm[0] = Sample()
-    for at in range(800):
-        (panel.calm[0] if at < 400 else panel.lately.setdefault(0, Sample())).add(2 if at < 400 else 7)
+    filled((panel.calm, 2), (panel.lately, 7), count=400)
     assert trial.look(True) is Verdict.NONE and trial.held_at
     desk.clock += 1.0
     filled((panel.lately, 8), count=50)  # sent before the hold: it shows how slow all had become
