What lay unread through a standstill is as old as its bytes, also to the window of rule 5

Umpire.take entered every transaction under the clock of the reading; its clients had sent the backlog up to 2 s before, and the rule counts from the last byte. So each of them stayed in the window up to 2 s too long.

Change: the door tells the module how long the request has lain unread (the system's time since the last bytes, which already shortened the client's time); the window keeps such entries in order; the target time counts from then too. The same error elsewhere: a relay that was asked for before a standstill was begun after it, by a list, a cap and a repeat window of before. As a relay may thus reach its server the grace after it was asked for, it stays in the module's window for that much longer. Looked at and right as they are: X-Budget-Ms and the client's time are worked out as the bytes are written; ages of lists and news are told by the other end.

Result: the plain model, with ages and lags and two fixed histories, finds each of the two errors when it is put back; so do the tests at the door and at the relays.

--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -1,12 +1,11 @@
 """All decisions of one umpire: where a transaction goes, when it is denied, how a build on trial is judged.
 
-A host makes `Umpire(charter, host, seed)`, calls it and the handles that `meet` and `take` give out, and does
-what `host` is asked. Types are in `stepsail/interface.py`; the test keeps its words (`docs/design.md`).
+A host, as `stepsail/interface.py` has it, makes `Umpire(charter, host, seed)` and calls it and its handles.
 """
 
 from __future__ import annotations
 
-from bisect import bisect_left
+from bisect import bisect_left, insort
 from collections import deque
 from collections.abc import Sequence
 from heapq import nlargest
@@ -141,6 +140,11 @@
 
 
 class Times(deque[float]):
+    def add(self, at: float) -> None:
+        if len(self) == self.maxlen:
+            self.popleft()
+        insort(self, at)  # what lay unread while this process stood still is older than what came before it
+
     def since(self, start: float) -> int:
         while self and self[0] < start:
             self.popleft()
@@ -191,11 +195,10 @@
 
     def heard(self, report: Sequence[float]) -> None:
         columns = self.umpire.charter.report_columns
-        for held in ("q", "rif") if len(report) == len(columns) else ():
-            if held in columns:
-                told = report[columns.index(held)]
-                self.load, self.queue = (told + len(self.out), told) if held == "q" else (told, self.queue)
-                self.open_then, self.heard_at = len(self.out), self.umpire.host.clock
+        for held in [c for c in ("q", "rif") if c in columns and len(report) == len(columns)]:
+            told = report[columns.index(held)]
+            self.load, self.queue = (told + len(self.out), told) if held == "q" else (told, self.queue)
+            self.open_then, self.heard_at = len(self.out), self.umpire.host.clock
 
     def awake(self) -> bool:
         return self.state is Listed.READY and self.rest_until <= self.umpire.host.clock
@@ -244,9 +247,9 @@
     flows: Sequence[Flow] = ()  # so in a captured state from before they were kept
 
     def __init__(self, umpire: Umpire, number: int, product: int, tenant: int, until: float, key: int,
-                 again: bool) -> None:
+                 again: bool, age: float) -> None:
         self.umpire, self.number, self.until, self.key, self.again = umpire, number, until, key, again
-        self.closed, self.taken, self.luck = False, umpire.host.clock, umpire.chance()
+        self.closed, self.taken, self.luck = False, umpire.host.clock - age, umpire.chance()
         self.product, self.relays = umpire.charter.products[product], list[Relay]()
         self.usual: Pace = umpire.usual[product]
         self.flows = (umpire.flows[product], umpire.flows[len(umpire.usual) + tenant])
@@ -617,12 +620,12 @@
             self.trial.reach(verdict, True)  # guards against umpires that see too little to judge
 
     def take(self, number: int, product: int, tenant: int, effort: float | None, until: float, key: int,
-             again: bool) -> Transaction:
+             again: bool, age: float = 0.0) -> Transaction:
         tenants = max(1, len(self.charter.tenant_shares))
         self.flows = self.flows or [Flow(self) for _ in range(len(self.usual) + tenants)]
-        transaction = Transaction(self, number, product, min(tenant, tenants - 1), until, key, again)
+        transaction = Transaction(self, number, product, min(tenant, tenants - 1), until, key, again, age)
         for times in (self.allowance(transaction)[0], self.taken):
-            times.append(self.host.clock)
+            times.add(transaction.taken)
         transaction.dispatch()
         return transaction
 
@@ -633,9 +636,9 @@
         return self.charter.one_way and build >= self.build + (self.phase is not Phase.TRIAL)
 
     def on_trial(self, build: int) -> bool:
-        if self.build < 0:  # no news yet: whatever follows the earliest build listed may be on trial
-            return build > min((s.build for s in self.ready), default=build)
-        return build > self.build or (build == self.build and self.phase is not Phase.RELEASED)
+        # No news yet: whatever follows the earliest build listed may be on trial.
+        latest = self.build if self.build >= 0 else min((s.build for s in self.ready), default=build)
+        return build > latest or (build == self.build and self.phase is not Phase.RELEASED)
 
     def may_expose(self, transaction: Transaction, build: int) -> bool:
         told = (self.stage, self.cap) if build == self.build else (0, self.charter.caps[0])
@@ -643,7 +646,8 @@
         start, (taken, sent) = self.host.clock - self.charter.window, self.allowance(transaction)
         # Guards against a restart inside a window: its forgotten life may have used all.
         free, part = (self.charter.free, 1.0) if start >= self.began else (0.0, FORGOTTEN * (told[1] >= 1))
-        left = free + part * told[1] * taken.since(start + SLIP) - sent.since(start - SLIP)
+        edge = start - SLIP - self.charter.drain_grace  # what is asked for may reach its server that much later
+        left = free + part * told[1] * taken.since(start + SLIP) - sent.since(edge)
         return not (guarded or self.shuns()) and told[1] > 0 and left >= 1
 
     def shuns(self) -> bool:
@@ -728,15 +732,12 @@
 
     def serve_waiting(self, whole: bool) -> None:
         """Guards against a look at all that wait after each relay: then only while there is room."""
-        waiting, self.waiting = self.waiting, []
+        waiting, self.waiting = [t for t in self.waiting if not t.closed], []
         ranks = [-p.revenue / self.usual[p.index].mean() for p in self.charter.products]
         waiting.sort(key=lambda t: (t.again, ranks[t.product.index], -t.taken))
-        for at, transaction in enumerate(waiting):
-            if not whole and not self.has_room():
-                self.waiting += waiting[at:]
-                break
-            if not transaction.closed:
-                transaction.dispatch()
+        while waiting and (whole or self.has_room()):
+            waiting.pop(0).dispatch()
+        self.waiting += waiting
 
     def rouse(self, after: float) -> None:
         if self.host.clock + after < self.beat_at:
--- a/stepsail/capture/entries.py
+++ b/stepsail/capture/entries.py
@@ -24,7 +24,7 @@
     NEWS = 6  # age, cap, build, stage, phase
     COUNTS = 7  # build, product, count, errored, mean, age
     VOTED = 8  # receipt
-    TAKE = 9  # number, product, tenant, effort, until, key, again
+    TAKE = 9  # number, product, tenant, effort, until, key, again, age (not in the earliest)
     ENDED = 10  # number, relay, outcome, final, took, report
     LEFT = 11  # number
     PROBED = 12  # server, took, outcome, report
@@ -60,7 +60,7 @@
     Told.LIST_READ: ("whole", "cached"), Told.LIST_FAILED: (),
     Told.NEWS: ("age", "cap", "build", "stage", "phase"),
     Told.COUNTS: ("build", "product", "count", "errored", "mean", "age"), Told.VOTED: ("receipt",),
-    Told.TAKE: ("number", "product", "tenant", "effort", "until", "key", "again"),
+    Told.TAKE: ("number", "product", "tenant", "effort", "until", "key", "again", "age"),
     Told.ENDED: ("number", "relay", "outcome", "final", "took", "report"), Told.LEFT: ("number",),
     Told.PROBED: ("server", "took", "outcome", "report"), Told.CONTESTED: ("server", "product", "since"),
     Told.SAW: ("server", "build", "product", "place"), Told.FOUND: ("neighbour", "build", "stage", "verdict"),
--- a/stepsail/capture/seam.py
+++ b/stepsail/capture/seam.py
@@ -156,8 +156,8 @@
         self.told(Told.LIST_FAILED, (), self.real.roster_failed)
 
     def take(self, number: int, product: int, tenant: int, effort: float | None, until: float, key: int,
-             again: bool) -> RecordedTransaction:
-        values = (number, product, tenant, effort, until, key, again)
+             again: bool, age: float = 0.0) -> RecordedTransaction:
+        values = (number, product, tenant, effort, until, key, again, age)
         transaction = self._transaction(self.told(Told.TAKE, values, self.real.take, *values))
         self.forget(transaction)
         return transaction
--- a/stepsail/umpire/door.py
+++ b/stepsail/umpire/door.py
@@ -113,7 +113,8 @@
         charter, now = self.orders.charter, self.loop.now()
         # Guards against this process's own pauses: a request that lay unread while it stood still is as old
         # as its bytes. Also holds against a full backlog. It never makes a client's time longer.
-        client_until = now + asked.left - stream.waited()
+        age = stream.waited()
+        client_until = now + asked.left - age
         if client_until <= now and self.speech.silent_when_late:
             stream.abort()  # nobody waits any more, and nothing was begun
             return False
@@ -128,7 +129,7 @@
                 held.close("denied")
             else:
                 self.ledger.taken += 1
-                self.host.take(held, asked.product, asked.tenant, asked.key, asked.again)
+                self.host.take(held, asked.product, asked.tenant, asked.key, asked.again, age)
                 if not self._await(inlet, held):
                     return False
             return self._answer(stream, request, held, asked.product)
--- a/stepsail/umpire/host.py
+++ b/stepsail/umpire/host.py
@@ -119,10 +119,11 @@
             found = self.servers[address] = self.umpire.meet(address)
         return found
 
-    def take(self, held: Held, product: int, tenant: int, key: int, again: bool) -> None:
+    def take(self, held: Held, product: int, tenant: int, key: int, again: bool, age: float) -> None:
         self.taken += 1
         self.held[held.number] = held
-        held.handle = self.tell(self.umpire.take, held.number, product, tenant, None, held.until, key, again)
+        held.handle = self.tell(self.umpire.take, held.number, product, tenant, None, held.until, key, again,
+                                age)
         self.forget_if_over(held)
 
     def relay_ended(self, held: Held, relay: int, outcome: Outcome, took: float, report: Sequence[float],
--- a/stepsail/umpire/nodes.py
+++ b/stepsail/umpire/nodes.py
@@ -64,14 +64,14 @@
     def relay(self, held: Held, server: ServerHandle, until: float) -> Task:
         number, node = len(held.relays), self.node(server.address)
         mark = self.wire.place(server.address)[1]
-        return self.loop.spawn(self._relay, held, number, node, mark, until, name="relay")
+        return self.loop.spawn(self._relay, held, number, node, mark, self.host.clock, until, name="relay")
 
-    def _relay(self, held: Held, number: int, node: Node, mark: object, until: float) -> None:
+    def _relay(self, held: Held, number: int, node: Node, mark: object, asked_at: float, until: float) -> None:
         start, progress = self.loop.now(), Progress()
         until = min(until, held.until)
         answer: Response | None = None
         try:
-            close, answer = self._exchange(held, node, mark, until, progress)
+            close, answer = self._exchange(held, node, mark, asked_at, until, progress)
         except Cancelled:
             close = Close.WITHDRAWN
         if close is Close.ANSWERED and answer and answer.flow:
@@ -111,9 +111,16 @@
             self._put_back(node, outlet)
         return close
 
-    def _exchange(self, held: Held, node: Node, mark: object, until: float,
+    def _exchange(self, held: Held, node: Node, mark: object, asked_at: float, until: float,
                   progress: Progress) -> tuple[Close, Response | None]:
-        """One relay. Only a connection on which not one byte was written is changed for another."""
+        """One relay. Only a connection on which not one byte was written is changed for another.
+
+        Guards against a standstill of this process between the module's word and the first byte: what the module
+        went by (list, cap, window, a label's time) may be over, and what has been told since lies unread. Its word
+        holds for the grace that the rules give, or a connect's time where that is longer; it is asked again then.
+        Could harm where connects take longer than the grace.
+        """
+        holds_until = asked_at + max(self.orders.charter.drain_grace, self.orders.connect_wait)
         while True:
             begun = held.request.flow is not None and held.request.flow.begun
             if held.closed or self.loop.now() >= until or begun:
@@ -131,7 +138,7 @@
             # The last look before the first byte: the client may have left, or another copy have answered,
             # or this process have stood still, or the server be told to drain, while the connection was made.
             now = self.loop.now()
-            if held.closed or now >= until or self.wire.place(node.address)[1] != mark:
+            if held.closed or now >= min(until, holds_until) or self.wire.place(node.address)[1] != mark:
                 self._put_back(node, outlet)
                 return Close.NOT_BEGUN, None
             fresh, kept, flow, idle, broke = outlet.fresh, False, held.request.flow, now - outlet.used_at, False
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -17,6 +17,8 @@
 class Model(Desk):
     """Checks each relay and final answer against the rules as they are worded, from the whole history."""
 
+    lag = 0.0  # s that a relay takes to reach its server, where it counts
+
     def __init__(self, **changed: Any) -> None:
         self.history: dict[int, list[dict[str, Any]]] = {}
         self.answered: set[int] = set()
@@ -43,7 +45,7 @@
         assert not (self.umpire.charter.one_way and transaction.key in self.bound) or server.build >= build
         if server.build >= build:
             assert cap > 0 and (stage >= 1 or product.repeat is Repeat.REDOABLE)
-            self.trial_at.append((self.clock, product.index))
+            self.trial_at.append((self.clock + self.lag, product.index))
             same = [i for i in range(3) if not self.umpire.charter.by_product or i == product.index]
             sent = sum(at > self.clock - 3.0 and p in same for at, p in self.trial_at)
             assert sent <= 2.0 + cap * sum(at > self.clock - 3.0 and p in same for at, p in self.taken_at)
@@ -78,6 +80,10 @@
 @settings(derandomize=True, max_examples=120, deadline=None)
 @given(STEPS, st.booleans(), st.booleans())
 @example([("t", 0, 3), ("e", 0, 0), ("w", 0, 0)] * 60, False, True)  # one key, over and over
+# A backlog that had lain unread, and soon after it is out of the window; relays that count a connect's time later.
+@example([("t", 0, 3), ("e", 0, 0)] * 20 + [("w", 5, 0)] * 2 + [("t", 0, 0), ("e", 0, 0)] * 20, False, False)
+@example([("t", 3, 1), ("e", 0, 0)] * 20 + [("w", 7, 0)] * 7 + [("w", 5, 0)] + [("t", 3, 1), ("e", 0, 0)] * 20, False,
+         False)
 def test_the_module_does_only_what_the_plain_model_allows(steps: list[tuple[str, int, int]], by_product: bool,
                                                           one_way: bool) -> None:
     model = Model(by_product=by_product, one_way=one_way)
@@ -85,10 +91,13 @@
     taken: list[Transaction] = []
     for step, pick, server in steps:
         if step == "t":
-            model.taken_at.append((model.clock, pick % 3))
+            age = (0.0, 0.0, 0.4, 2.5)[(pick + server) % 4]  # s that it lay unread while the process stood still
+            model.lag = 0.125 * (pick % 5)
+            model.taken_at.append((model.clock - age, pick % 3))
             lasts = 0.3 + 0.4 * server
             key = 1 + (pick + server) % 4
-            taken.append(model.umpire.take(len(taken), pick % 3, 0, None, model.clock + lasts, key, False))
+            taken.append(model.umpire.take(len(taken), pick % 3, 0, None, model.clock + lasts, key, False,
+                                            age))
         elif step == "e" and taken:
             transaction = taken[-1 - pick % len(taken)]
             if model.history.get(transaction.number):
--- a/tests/umpire/test_door.py
+++ b/tests/umpire/test_door.py
@@ -161,6 +161,21 @@
     Rig(tmp_path, test, [answers()])
 
 
+def test_what_lay_unread_counts_for_the_window_from_when_it_came(tmp_path: Path) -> None:
+    """An umpire that stood still counted its whole backlog as taken when it read it: rule 5 was broken, 13 relays
+    at a build on trial where 11.2 were allowed."""
+    def test(rig: Rig) -> None:
+        sock = rig.plain()
+        rig.loop.sleep(0.02)
+        sock.sendall(GET + b"\r\n")
+        sent_at = rig.loop.now()
+        time.sleep(0.2)
+        assert b"200 OK" in read_all(rig, sock)
+        umpire = rig.daemon.host.umpire
+        assert [abs(at - sent_at) < 0.1 for at in umpire.taken] == [True]  # type: ignore[attr-defined]
+    Rig(tmp_path, test, [answers()])
+
+
 def test_leaving_answers_what_is_held_and_takes_nothing_new(tmp_path: Path) -> None:
     def test(rig: Rig) -> None:
         idle, held = rig.connect(), rig.loop.spawn(rig.ask, "GET", "/look")
--- a/tests/umpire/test_relays.py
+++ b/tests/umpire/test_relays.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+import time
 from pathlib import Path
+from typing import Any
 
 import pytest
 from rig import Rig, ScriptedBox, answers, hangs, hangs_up, said
 
-from stepsail.http import Inlet, Request, encode_response
+from stepsail.http import Inlet, Outlet, Request, encode_response
+from stepsail.interface import Outcome
 from stepsail.loop import Stream
+from stepsail.umpire.host import Held
+from stepsail.umpire.nodes import Node
 
 
 def test_a_transaction_is_relayed_and_its_answer_comes_back_unchanged(tmp_path: Path) -> None:
@@ -59,6 +64,27 @@
     Rig(tmp_path, test, [answers()])
 
 
+def test_what_was_decided_before_a_standstill_is_not_begun_after_it(tmp_path: Path) -> None:
+    """An umpire that stood still for 2 s wrote, as it went on, what it had decided by a list and a cap of before."""
+    def test(rig: Rig) -> None:
+        nodes, host, ends = rig.daemon.nodes, rig.daemon.host, list[str]()
+        connects, ended = nodes._outlet, host.relay_ended
+
+        def slowly(node: Node, until: float) -> Outlet | None:
+            if not ends:
+                time.sleep(0.6)  # longer than the grace
+            return connects(node, until)
+
+        def keeps(held: Held, relay: int, outcome: Outcome, *rest: Any) -> None:
+            ends.append(outcome.name)
+            ended(held, relay, outcome, *rest)
+        nodes._outlet = slowly  # type: ignore[method-assign]
+        host.relay_ended = keeps  # type: ignore[method-assign, assignment]
+        assert rig.ask("GET", "/late").status == 200
+        assert ends == ["UNSENT", "HANDLED"] and rig.total() == 1
+    Rig(tmp_path, test, [answers()] * 2)
+
+
 def test_refused_connections_never_ran_and_the_irreversible_goes_elsewhere(tmp_path: Path) -> None:
     def test(rig: Rig) -> None:
         rig.boxes[0].listener.drop()
