An answer that cannot reach its client in its time is not begun

The door wrote until the end itself (_answer: late = now >= client_until), though the settings' answer-slack is the time before it; the way to the client then takes it over the end.

Change: a quarter of the answer's slack is kept for the way; what would leave later is reset as what is late is. The platform's clients are answered late or not, as before.

--- a/stepsail/umpire/door.py
+++ b/stepsail/umpire/door.py
@@ -12,6 +12,7 @@
 
 NEW = 0.05  # s that a new client has to say something before it may have to make room for another
 LATE = 0.05  # s to write an answer whose client may be gone
+UNDER_WAY = 0.25  # of the answer's slack, for its way to the client: what leaves later may come when its time is over
 DRAIN, MOST_DRAIN = 0.5, 4 << 20  # s, and bytes, that are read on and thrown away behind a bad request
 
 
@@ -168,7 +169,8 @@
     def _answer(self, stream: Stream, request: Request, held: Held, product: int) -> bool:
         now = self.loop.now()
         self.host.counts[held.verdict] += 1
-        late = now >= held.client_until
+        leaves_by = held.client_until - self.orders.answer_slack * UNDER_WAY
+        late = now >= leaves_by
         if late and self.speech.silent_when_late:
             stream.abort()  # its time is up: nothing is sent after it
             self.log.warning("answer_too_late", transaction=held.number, late=round(now - held.client_until, 3))
@@ -183,7 +185,7 @@
             self.host.forget_if_over(held)
             return False
         now = self.loop.now()
-        late = now >= held.client_until
+        late = now >= leaves_by
         if late and self.speech.silent_when_late:
             stream.abort()
             return False
--- a/tests/umpire/test_door.py
+++ b/tests/umpire/test_door.py
@@ -7,10 +7,12 @@
 import struct
 import time
 from pathlib import Path
+from typing import Any
 
 import pytest
 from rig import Rig, answers, hangs, said
 
+from stepsail.umpire.host import Held
 from stepsail.umpire.roster import read_kept
 
 GET = b"GET /look HTTP/1.1\r\nhost: x\r\n"
@@ -176,6 +178,22 @@
     Rig(tmp_path, test, [answers()])
 
 
+def test_an_answer_that_cannot_reach_its_client_in_time_is_not_begun(tmp_path: Path) -> None:
+    """An umpire that stood still went on 58 us before a client's end and wrote the answer that lay there: it came
+    13 us late (emulated bad day, seed 9)."""
+    def test(rig: Rig) -> None:
+        host, ended = rig.daemon.host, rig.daemon.host.relay_ended
+
+        def late(held: Held, *rest: Any) -> None:
+            time.sleep(max(0.0, held.client_until - 0.004 - rig.loop.now()))
+            ended(held, *rest)
+        host.relay_ended = late  # type: ignore[method-assign, assignment]
+        with pytest.raises(OSError):
+            rig.ask("GET", "/look", left=0.3)
+        assert "answer_too_late" in rig.log.events()
+    Rig(tmp_path, test, [answers()])
+
+
 def test_leaving_answers_what_is_held_and_takes_nothing_new(tmp_path: Path) -> None:
     def test(rig: Rig) -> None:
         idle, held = rig.connect(), rig.loop.spawn(rig.ask, "GET", "/look")
