--- a/stepsail/loop/poll.py
+++ b/stepsail/loop/poll.py
@@ -104,10 +104,10 @@
         self.calls: dict[int, Callable[[], object]] = {}
         self.spare = self._spare()
         self.shed = 0  # connections turned away for want of descriptors
-        self.wake_in, self.wake_out = socket.socketpair()
-        self.wake_in.setblocking(False)
-        self.wake_out.setblocking(False)
-        self.poller.register(self.wake_out.fileno(), select.POLLIN)
+        self.wake_out, self.wake_in = os.pipe()  # no pair of sockets: a platform may know no others than IPv4's
+        os.set_blocking(self.wake_in, False)
+        os.set_blocking(self.wake_out, False)
+        self.poller.register(self.wake_out, select.POLLIN)
         self.old_wake: int | None = None
         self.posted: deque[Callable[[], object]] = deque()
 
@@ -122,7 +122,7 @@
     def poll(self, timeout: float | None) -> None:
         # Rounded up: a wait that ends a fraction early would spin until the timer is due.
         for fd, ready in self.poller.poll(None if timeout is None else -(-timeout * 1000 // 1)):
-            if fd == self.wake_out.fileno():
+            if fd == self.wake_out:
                 self._signalled()
                 continue
             port = self.ports.get(fd)
@@ -144,7 +144,7 @@
 
     def _signalled(self) -> None:
         with contextlib.suppress(BlockingIOError):
-            while numbers := self.wake_out.recv(64):
+            while numbers := os.read(self.wake_out, 64):
                 for number in numbers:
                     if number in self.calls:
                         self.calls[number]()
@@ -155,7 +155,7 @@
         """Run a call between rounds of the loop; from any thread. Bounded by what its callers have out."""
         self.posted.append(call)
         with contextlib.suppress(BlockingIOError, OSError):  # full: it will wake anyway
-            self.wake_in.send(b"\0")
+            os.write(self.wake_in, b"\0")
 
     def _mask(self, port: SocketPort) -> None:
         mask = sum(READY[d] for d in port.waiters)
@@ -247,7 +247,7 @@
 
     def on_signal(self, number: int, call: Callable[[], object]) -> None:
         if self.old_wake is None:
-            self.old_wake = signal.set_wakeup_fd(self.wake_in.fileno(), warn_on_full_buffer=False)
+            self.old_wake = signal.set_wakeup_fd(self.wake_in, warn_on_full_buffer=False)
         self.calls[number] = call
         signal.signal(number, lambda *_: None)  # the byte on the wake-up descriptor does the work
 
@@ -258,8 +258,8 @@
                 signal.signal(number, signal.SIG_DFL)
         for port in list(self.ports.values()):
             self.close(cast(Port, port))
-        self.wake_in.close()
-        self.wake_out.close()
+        os.close(self.wake_in)
+        os.close(self.wake_out)
         if self.spare is not None:
             os.close(self.spare)
             self.spare = None
