An umpire keeps a fifteenth of its idle time's transactions as servers in use, not half

Looked into: nothing is closed as idle and connections last; each umpire has 1 to 3 transactions a second, draws from as many servers as it uses in half of the idle time (15 s here: some 37 of 100), and a release replaces every server two to four times in 40 s, so that a connection carries hardly more than one relay. At fault: pick's kept. Reason in settings and protocol: opening costs the server work and the first request time, servers keep few connections, and the idle time (30 s) is told. A server in use now carries some 15 relays in its idle time.

--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -26,7 +26,7 @@
 STUCK, SEEN, TRIED = (0.6, 0.3), 8, 0.5  # late shares from, until which; others seen; open ones a server
 STUCK_FOR, TOLD_FOR = 6.0, 2.5  # s that a flow stays stuck after it was found to be, or a judge has told so
 AT_HOME, LEAST_WEIGHT = 0.7, 1e-9  # of a home's cost at which another is as good; weight of the worst server
-LINKS, SQUEEZED = 2, 0.05  # connections kept idle while more than this share of connects is refused at once
+LINKS, SQUEEZED, USES = 2, 0.05, 15  # idle links kept, from that share of refusals; relays a link carries
 CROWDED, KEEN = 0.2, 0.08  # share of relays refused from which no build is judged; the part of the latest one
 OTHERS = 0.5  # least share of servers of earlier builds for a hold or a back, as they then do all
 FADE = (0.6, 3.0, 0.5, 0.8, 0.3)  # abandon times, s, between fadings; of the latest, own, left; for newest
@@ -646,7 +646,7 @@
         start, (taken, sent) = self.host.clock - self.charter.window, self.allowance(transaction)
         # Guards against a restart inside a window: its forgotten life may have used all.
         free, part = (self.charter.free, 1.0) if start >= self.began else (0.0, FORGOTTEN * (told[1] >= 1))
-        edge = start - SLIP - self.charter.drain_grace  # what is asked for may reach its server that much later
+        edge = start - SLIP - self.charter.drain_grace  # what is asked for may arrive that much later
         left = free + part * told[1] * taken.since(start + SLIP) - sent.since(edge)
         return not (guarded or self.shuns()) and told[1] > 0 and left >= 1
 
@@ -690,7 +690,7 @@
     def pick(self, servers: Sequence[Server], key: int = 0) -> Server:
         """Two random choices of few, linked servers; a key's homes while warm and not crowded."""
         now, homes = self.host.clock, self.homes(servers, key)
-        kept = max(FEWEST, self.taken.since(now - self.charter.idle_for / 2)) / len(self.ready)
+        kept = max(FEWEST, self.taken.since(now - self.charter.idle_for / USES)) / len(self.ready)
         if any(s.linked() for s in servers) and self.chance() < self.connects.mean():
             servers = [s for s in servers if s.linked()]  # others would be refused, or slow to open
         else:
