The kept list is written aside: a busy disk under it held up every transaction

Looked into: no other task was slow; the machine's cores were shared, but only this call stood still. At fault: Roster.keep wrote and moved the file in the loop; moving a file onto an older one makes the system put it on the disk first. Change: the driver runs what may block aside, by one thread in order (in virtual time at once); a next write waits for the one under way, as does an umpire that leaves. A test's full disk now leaves the wake-up pipe alone. Result: the test with a disk that does not end its write fails before and passes now.

--- a/stepsail/emulate/driver.py
+++ b/stepsail/emulate/driver.py
@@ -78,6 +78,9 @@
         self.posted.append(call)
         self.machine.call_up()
 
+    def aside(self, call: Callable[[], object]) -> None:
+        call()  # nothing takes time here but what the clockwork says
+
     # -- waits -------------------------------------------------------------------------------------------
 
     def want(self, port: seam.Port, direction: int, waiter: Waiter) -> None:
--- a/stepsail/loop/driver.py
+++ b/stepsail/loop/driver.py
@@ -69,4 +69,8 @@
     def post(self, call: Callable[[], object]) -> None:
         """Run a call on the loop, between its rounds; the one thing another thread may ask."""
 
+    def aside(self, call: Callable[[], object]) -> None:
+        """Run a call that may block, such as a write to a disk, where it holds up no task; one after another, in
+        order. It must not fail, touches nothing of the loop's, and says what came of it by `post`."""
+
     def shutdown(self) -> None: ...
--- a/stepsail/loop/poll.py
+++ b/stepsail/loop/poll.py
@@ -5,10 +5,12 @@
 import contextlib
 import errno
 import os
+import queue
 import select
 import signal
 import socket
 import struct
+import threading
 import time
 from collections import deque
 from collections.abc import Callable
@@ -110,6 +112,7 @@
         self.poller.register(self.wake_out, select.POLLIN)
         self.old_wake: int | None = None
         self.posted: deque[Callable[[], object]] = deque()
+        self.asides: queue.SimpleQueue[Callable[[], object] | None] | None = None
 
     @staticmethod
     def _spare() -> int | None:
@@ -157,6 +160,18 @@
         with contextlib.suppress(BlockingIOError, OSError):  # full: it will wake anyway
             os.write(self.wake_in, b"\0")
 
+    def aside(self, call: Callable[[], object]) -> None:
+        """By a thread that starts with the first call. Bounded by what its callers have out."""
+        if self.asides is None:
+            self.asides = queue.SimpleQueue()
+            threading.Thread(target=self._aside, args=(self.asides,), name="aside", daemon=True).start()
+        self.asides.put(call)
+
+    @staticmethod
+    def _aside(calls: queue.SimpleQueue[Callable[[], object] | None]) -> None:
+        while call := calls.get():
+            call()
+
     def _mask(self, port: SocketPort) -> None:
         mask = sum(READY[d] for d in port.waiters)
         if mask == port.mask:
@@ -258,6 +273,8 @@
                 signal.signal(number, signal.SIG_DFL)
         for port in list(self.ports.values()):
             self.close(cast(Port, port))
+        if self.asides is not None:
+            self.asides.put(None)
         os.close(self.wake_in)
         os.close(self.wake_out)
         if self.spare is not None:
--- a/stepsail/umpire/roster.py
+++ b/stepsail/umpire/roster.py
@@ -11,6 +11,7 @@
 
 from stepsail.charter import Orders
 from stepsail.loop import Event, Loop, Task
+from stepsail.loop.driver import Driver
 from stepsail.trail.entries import Kind
 from stepsail.umpire.account import Account
 from stepsail.umpire.caller import Caller, CallFailed
@@ -21,6 +22,7 @@
 POLL, POLL_SLACK = 5.0, 2.0  # s that a long poll may stay open, and s beyond for its answer
 ASK_WITHIN = 2.0  # s for a list that is asked for once
 KEEP_EVERY = 0.5  # s between two writes of the kept list, at least
+KEEP_WITHIN, KEEP_LOOK = 2.0, 0.01  # s that an umpire which leaves waits for a write under way; between looks at it
 
 
 class Roster:
@@ -34,7 +36,7 @@
         self.starts: dict[str, tuple[str, float]] = {}
         self.known = Event(loop)
         self.watching: Task | None = None
-        self.keep_at = 0.0
+        self.keep_at, self.writing = 0.0, False
 
     # -- asking ------------------------------------------------------------------------------------------
 
@@ -133,22 +135,52 @@
     def _keep_soon(self) -> None:
         if self.orders.roster_kept and self.keep_at <= self.loop.now():
             self.keep_at = self.loop.now() + KEEP_EVERY
-            self.loop.after(KEEP_EVERY, self.keep)
+            self.loop.after(KEEP_EVERY, self._keep_aside)
 
-    def keep(self) -> None:
-        """Write the list beside its place and move it there. No fsync, as a torn one is found by its sum;
-        a disk that is full leaves the earlier list and a warning."""
-        file = self.orders.roster_kept
-        if file is None:
+    def _keep_aside(self) -> None:
+        """Guards against a slow disk: with the write in the loop, every task stood still for up to 0.87 s while the
+        system put the moved file on a busy disk, and a transaction's answer came too late for its client."""
+        if self.writing:
+            self.loop.after(KEEP_EVERY, self._keep_aside)
             return
+        self.writing, driver, body = True, self.loop.driver, self._kept()
+        driver.aside(lambda: self._done(driver, self._write(body)))
+
+    def _done(self, driver: Driver, trouble: OSError | None) -> None:
+        def told() -> None:
+            self.writing = False
+            self._warn(trouble)
+        driver.post(told)
+
+    def keep(self) -> None:
+        """Write the list at once, as this umpire leaves; behind one that is being written."""
+        until = self.loop.now() + KEEP_WITHIN
+        while self.writing and self.loop.now() < until:
+            self.loop.sleep(KEEP_LOOK)
+        if not self.writing:
+            self._warn(self._write(self._kept()))
+
+    def _kept(self) -> bytes:
         lines = [line for line in self.lines.values() if line["state"] != "gone"]
         body = msgspec.json.encode({"seq": 0, "whole": True, "servers": lines})
+        return b"%08x\n%s" % (zlib.crc32(body), body)
+
+    def _write(self, body: bytes) -> OSError | None:
+        """Beside its place, and moved there. No fsync, as a torn one is found by its sum; a disk that is full
+        leaves the earlier list and a warning."""
+        file = self.orders.roster_kept
+        assert file
         beside = file.with_name(file.name + ".new")
         try:
-            beside.write_bytes(b"%08x\n%s" % (zlib.crc32(body), body))
+            beside.write_bytes(body)
             os.replace(beside, file)
         except OSError as trouble:
-            self.log.warning("roster_not_kept", file=str(file), error=str(trouble))
+            return trouble
+        return None
+
+    def _warn(self, trouble: OSError | None) -> None:
+        if trouble:
+            self.log.warning("roster_not_kept", file=str(self.orders.roster_kept), error=str(trouble))
 
     def recall(self) -> bool:
         """Tell the kept list, if there is a whole and valid one."""
--- a/tests/umpire/test_account.py
+++ b/tests/umpire/test_account.py
@@ -4,6 +4,7 @@
 
 import errno
 import os
+import stat
 from pathlib import Path
 from typing import Any
 
@@ -74,7 +75,7 @@
     real = os.write
 
     def no_space(fd: int, data: Any) -> int:
-        if full:
+        if full and stat.S_ISREG(os.fstat(fd).st_mode):  # a disk, not the pipe that wakes the loop
             raise OSError(errno.ENOSPC, "No space left on device")
         return real(fd, data)
 
--- a/tests/umpire/test_door.py
+++ b/tests/umpire/test_door.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import json
+import os
 import socket
 import struct
+import threading
 import time
 from pathlib import Path
 from typing import Any
@@ -241,6 +243,31 @@
     Rig(tmp_path, test, [answers()], "servers {\n    cold-from 95%\n}")
 
 
+def test_a_slow_disk_under_the_kept_list_holds_up_no_transaction(tmp_path: Path,
+                                                                 monkeypatch: pytest.MonkeyPatch) -> None:
+    """Bad day, seed 4, beside a load on all cores: the kept list was written in the loop, which stood still for up to
+    0.87 s, and a client got no answer in its time."""
+    begun, go_on, replace = threading.Event(), threading.Event(), os.replace
+
+    def slowly(*names: Any) -> None:
+        begun.set()
+        go_on.wait(5.0)
+        replace(*names)
+
+    def test(rig: Rig) -> None:
+        monkeypatch.setattr(os, "replace", slowly)
+        until = rig.loop.now() + 5.0
+        while not begun.is_set() and rig.loop.now() < until:
+            rig.loop.sleep(0.01)
+        assert begun.is_set() and rig.ask("GET", "/look").status == 200  # while the disk holds up the write
+        assert not (rig.folder / "kept.json").exists()
+        rig.daemon.stop()
+        rig.loop.sleep(0.05)
+        go_on.set()
+        assert rig.life.join(3.0) == 0 and read_kept(rig.folder / "kept.json")
+    Rig(tmp_path, test, [answers()])
+
+
 def test_news_and_lists_that_make_no_sense_are_passed_over(tmp_path: Path) -> None:
     def test(rig: Rig) -> None:
         rig.state = json.loads('{"build": -1, "stage": 0, "phase": "somewhere", "cap": 7, "age": "old"}')
