Where the system tells no age of what lay unread, the loop's own turns do

Change: the loop knows how long its turns took between its two last looks and since; what is read now may be that old. A standstill while it waits for readiness is told by the system alone, as before. Result: the test at the door fails without it where the system does not tell.

--- a/stepsail/loop/hub.py
+++ b/stepsail/loop/hub.py
@@ -155,6 +155,7 @@
         self.stopping: BaseException | None = None
         self.report = report or _to_stderr
         self.rounds = 0
+        self.back_at, self.turned = driver.now(), 0.0  # end of the last look at ports; s of turns before it
 
     # -- tasks -------------------------------------------------------------------------------------------
 
@@ -191,7 +192,7 @@
         while not over():
             self.rounds += 1
             # One reading of the clock ends one turn and begins the next.
-            clock = now()
+            clock = self.back_at = now()
             for _ in range(len(turns)):
                 task, value, error = turns.popleft()
                 running = task.greenlet
@@ -211,6 +212,7 @@
                     self._call(call)
             if over():
                 return
+            self.turned = now() - self.back_at
             if turns:
                 self.driver.poll(0.0)
                 continue
@@ -297,6 +299,11 @@
         finally:
             self.driver.unwant(port, direction, waiter)
 
+    def unseen(self) -> float:
+        """Seconds that what is read now may have lain unread: the turns since the last look at the ports, and those
+        between it and the one before. Not a standstill while it waited, of which only the system can tell."""
+        return self.turned + self.now() - self.back_at
+
     def timeout(self, seconds: float) -> Scope:
         return Scope(self, seconds)
 
--- a/stepsail/umpire/door.py
+++ b/stepsail/umpire/door.py
@@ -114,7 +114,7 @@
         charter, now = self.orders.charter, self.loop.now()
         # Guards against this process's own pauses: a request that lay unread while it stood still is as old
         # as its bytes. Also holds against a full backlog. It never makes a client's time longer.
-        age = stream.waited()
+        age = stream.waited() or self.loop.unseen()  # not every system tells
         client_until = now + asked.left - age
         if client_until <= now and self.speech.silent_when_late:
             stream.abort()  # nobody waits any more, and nothing was begun
--- a/tests/umpire/test_door.py
+++ b/tests/umpire/test_door.py
@@ -14,6 +14,7 @@
 import pytest
 from rig import Rig, answers, hangs, said
 
+from stepsail.loop import Stream
 from stepsail.umpire.host import Held
 from stepsail.umpire.roster import read_kept
 
@@ -165,9 +166,14 @@
     Rig(tmp_path, test, [answers()])
 
 
-def test_what_lay_unread_counts_for_the_window_from_when_it_came(tmp_path: Path) -> None:
+@pytest.mark.parametrize("told", [True, False])
+def test_what_lay_unread_counts_for_the_window_from_when_it_came(tmp_path: Path, told: bool,
+                                                                 monkeypatch: pytest.MonkeyPatch) -> None:
     """An umpire that stood still counted its whole backlog as taken when it read it: rule 5 was broken, 13 relays
-    at a build on trial where 11.2 were allowed."""
+    at a build on trial where 11.2 were allowed. Where the system does not tell since when, the loop's turns do."""
+    if not told:
+        monkeypatch.setattr(Stream, "waited", lambda stream: 0.0)
+
     def test(rig: Rig) -> None:
         sock = rig.plain()
         rig.loop.sleep(0.02)
