What another thread posts after the loop's end goes to nobody's file

A disk's thread that ends its write after the loop would have put its byte into whatever file had the number by then. Change: the ends are forgotten before they are closed. Result: the test fails without it, passes with it.

--- a/stepsail/loop/poll.py
+++ b/stepsail/loop/poll.py
@@ -275,8 +275,10 @@
             self.close(cast(Port, port))
         if self.asides is not None:
             self.asides.put(None)
-        os.close(self.wake_in)
-        os.close(self.wake_out)
+        # Guards against a late `post` of another thread: its byte would go to whatever has the number by then.
+        ends, self.wake_in, self.wake_out = (self.wake_in, self.wake_out), -1, -1
+        for end in ends:
+            os.close(end)
         if self.spare is not None:
             os.close(self.spare)
             self.spare = None
--- a/tests/loop/test_tasks.py
+++ b/tests/loop/test_tasks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from collections.abc import Callable, Iterator
 from typing import Any
 
@@ -93,6 +94,20 @@
     assert ends == ["expired"] and loop.now() == 1006.0 and reports[0][0] == "task_cleanup_overran"
 
 
+def test_what_is_posted_after_the_end_goes_to_nobody() -> None:
+    # A disk's thread may end its write after the loop: the pipe's number may be another file's by then.
+    driver = PollDriver()
+    driver.shutdown()
+    inlet, outlet = os.pipe()
+    others = [os.dup(outlet) for _ in range(4)]
+    driver.post(lambda: None)
+    os.set_blocking(inlet, False)
+    with pytest.raises(BlockingIOError):
+        os.read(inlet, 1)
+    for fd in (inlet, outlet, *others):
+        os.close(fd)
+
+
 def test_cancel_that_races_with_a_result_keeps_the_result(loop: Loop) -> None:
     """What was handed over in the same round is not lost; the cancel comes at the next wait."""
     got: list[object] = []
