The umpires' own view of the fleet: SWIM with Lifeguard, a rig for its words, and a checker

Need: umpires share nothing and take the number of their fellows from their settings; a change of policy and overload handled as one need to know who is there.

--- a/stepsail/charter/orders.py
+++ b/stepsail/charter/orders.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from stepsail.charter.read import Faults, Reader, Tree
-from stepsail.charter.shape import Address, Orders, Route
+from stepsail.charter.shape import Address, Orders, Route, ViewOrders
 from stepsail.charter.words import DOOR, LIMITS, RELEASE, SAID_IN_SHAPE_2, SERVERS, WORDS, Word
 from stepsail.interface import Charter, Control, Group, Product, Repeat
 
@@ -90,6 +90,13 @@
                    Group(repeats.get("group", "cell")), repeats.get("window", 0.0))
 
 
+def _view(given: dict[str, Any]) -> ViewOrders:
+    filled = _filled(given, next(w.block for w in WORDS if w.name == "view"))
+    hears = _address(given["address"])
+    return ViewOrders(hears, _address(given["reached"]) if "reached" in given else hears,
+                      tuple(_address(s) for s in filled["seed"] or ()), filled["period"] or 0.0, filled["fleet"])
+
+
 def _orders(tree: Tree, file: Path) -> Orders:
     top = tree.values
     release, servers = _filled(top["release"], RELEASE), _filled(top.get("servers", {}), SERVERS)
@@ -115,6 +122,7 @@
         window=release["window"], vote_life=release["vote-life"], vote_wait=release["vote-wait"],
         votes_per_s=release["votes-per-second"], tenant_shares=tuple(t["share"] for t in tenants),
         tenant_quotas=tuple(t.get("quota", 0.0) for t in tenants))
+    view = _view(top["view"]) if "view" in top else None
     log = top.get("log", {})
     trail = _filled(top.get("trail", {}), next(w.block for w in WORDS if w.name == "trail"))
     kept = _filled(top.get("capture", {}), next(w.block for w in WORDS if w.name == "capture"))
@@ -135,4 +143,5 @@
         file.parent / trail["folder"] if "folder" in trail else None, trail["survives"], trail["when-full"],
         trail["commit-within"] if "folder" in trail else 0.0, trail["segment"], trail["reserve"],
         trail["age"], trail["size"],
-        file.parent / kept["folder"] if "folder" in kept else None, kept["size"], kept["segment"], kept["age"])
+        file.parent / kept["folder"] if "folder" in kept else None, kept["size"], kept["segment"], kept["age"],
+        view)
--- a/stepsail/charter/shape.py
+++ b/stepsail/charter/shape.py
@@ -19,6 +19,18 @@
     product: int
 
 
+@dataclass(frozen=True, slots=True)
+class ViewOrders:
+    """How an umpire takes part in the fleet's view: where it listens, where others reach it, where some of them may
+    be found, the period of its probes in seconds (0: the usual one), and the fleet's name."""
+
+    hears: Address
+    reached: Address
+    seeds: tuple[Address, ...]
+    period: float
+    fleet: str
+
+
 @dataclass(frozen=True, slots=True)
 class Orders:
     """All that an umpire is told by its file. Times in seconds, sizes in bytes."""
@@ -63,6 +75,7 @@
     capture_size: int = 0
     capture_segment: int = 0
     capture_age: float = 0.0
+    view: ViewOrders | None = None  # of the fleet; none unless it is ordered
     most_links: int = 0  # connections to all servers together; 0: no bound but each server's own
     link_rest: float = 0.0  # s that a connection rests before it is used again
     link_life: float = 0.0  # s that one may be idle and still be used; 0: as long as the charter says
--- a/stepsail/charter/words.py
+++ b/stepsail/charter/words.py
@@ -266,6 +266,15 @@
          (arg("address", "address"),), (
              Word("neighbour", "A neighbour's number and address.", (
                  arg("number", "whole"), arg("address", "address")), many=True),)),
+    Word("view", "Where this umpire speaks with the others about who is there, and where they reach it if that is "
+         "elsewhere; absent: it takes their number from 'umpire'. See fleet.md.", (
+             arg("address", "address"), arg("reached", "address", keyword="reached", optional=True)), (
+             Word("seed", "Where another umpire may be found; a few are enough, itself may be among them.", (
+                 arg("address", "address"),), many=True),
+             Word("period", "Time between an umpire's probes; all other times of the view follow from it.",
+                  (arg("time", "time", minimum=0.05, maximum=60),)),
+             Word("fleet", "Name of the fleet; words of others are passed over.", (arg("name", "text"),),
+                  absent="stepsail"))),
     Word("log", "Form (json, console) and least level of the log.", (
         arg("form", "text", enum=["json", "console"]),
         arg("level", "text", optional=True, enum=["debug", "info", "warning", "error"]))),
--- a/stepsail/emulate/actors.py
+++ b/stepsail/emulate/actors.py
@@ -59,6 +59,9 @@
         self.clockwork, self.network, self.make = clockwork, network, make
         self.machine: Machine | None = None
 
+    def free_address(self) -> Address:
+        return self.network.free_address()
+
     def start(self) -> None:
         name = f"umpire {self.number}"
         self.machine = Machine(self.clockwork, EmulatedDriver(self.clockwork, self.network, name), name, self._main)
--- a/stepsail/emulate/driver.py
+++ b/stepsail/emulate/driver.py
@@ -35,6 +35,8 @@
     def now(self) -> float:
         return self.clockwork.now
 
+    wall = now
+
     def poll(self, timeout: float | None) -> None:
         if timeout != 0 and not self.marked and not self.signals and not self.posted:
             # At least to the next instant that the clock can show: the loop's sums may fall short of a timer by a
--- a/stepsail/loop/driver.py
+++ b/stepsail/loop/driver.py
@@ -46,6 +46,9 @@
 
     def now(self) -> float: ...
 
+    def wall(self) -> float:
+        """Seconds since 1970 as the system has them: may jump either way, and serves to tell starts apart only."""
+
     def poll(self, timeout: float | None) -> None:
         """Wait until a port is ready or the time is over, and wake the waiters of ready ports."""
 
--- a/stepsail/loop/poll.py
+++ b/stepsail/loop/poll.py
@@ -121,6 +121,7 @@
         return None
 
     now = staticmethod(time.monotonic)
+    wall = staticmethod(time.time)
 
     def poll(self, timeout: float | None) -> None:
         # Rounded up: a wait that ends a fraction early would spin until the timer is due.
--- a/stepsail/standins/day.py
+++ b/stepsail/standins/day.py
@@ -29,8 +29,21 @@
     "restart-umpires": "A part of the umpires is killed, one after the other, each back within 2 s.",
     "pause-umpires": "A part of the umpires stands still for so long (size, s), every 2 to 4 s.",
     "slow-zone": "The ways to a zone take longer (size, s) and lose a part of what is sent.",
+    "leave-umpires": "A part of the umpires is told to leave, one after the other, each back within 2 s of its end.",
+    "kill-umpires": "A part of the umpires is killed at once, and started again when it is over.",
+    "stop-umpires": "A part of the umpires stands still at once.",
+    "cut-umpires": "A part of the umpires can neither speak to the others nor hear them.",
+    "mute-umpires": "What a part of the umpires says reaches none of the others.",
+    "deafen-umpires": "What the others say reaches none of a part of the umpires.",
+    "flap-umpires": "A part of the umpires is cut off and back again, by turns of so long (size, s).",
+    "lose-words": "A part of all words between umpires is lost.",
+    "double-words": "A part of all words between umpires comes twice.",
+    "late-words": "Words between umpires take up to so much longer (size, s), and overtake each other.",
+    "old-words": "Beside a part of all words between umpires an old one comes again.",
     "retry-storm": "Clients try so many times more (size), at once.",
     "curve": "Traffic rises to so many times the usual and falls again, as a day does."}
+WORD_TROUBLES = ("cut-umpires", "mute-umpires", "deafen-umpires", "flap-umpires", "lose-words", "double-words",
+                 "late-words", "old-words")  # of the words between umpires
 MOST_DRAWN = 64  # troubles of a day
 
 BOXES = (
@@ -63,6 +76,9 @@
     Word("cross-delay", "Time one way between zones.", (arg("time", "time", **TIME),), absent=0.001),
     Word("notice", "Time that the front goes on sending to a dead umpire.", (arg("time", "time", **TIME),),
          absent=1.5),
+    Word("view", "Umpires keep a view of the fleet, and the rig carries their words.", (arg("yes", "yes"),),
+         absent=False),
+    Word("view-period", "Time between an umpire's probes of the others.", (arg("time", "time", **TIME),)),
     Word("uneven", "So many times more goes to a zone's first umpire than to its last.",
          (arg("times", "number", minimum=1, maximum=1000),), absent=1.0),
     Word("retries", "Tries beyond the first.", (arg("count", "whole", maximum=10),), absent=2),
@@ -113,6 +129,8 @@
     notice: float
     manners: Manners
     uneven: float = 1.0
+    view: bool = False
+    view_period: float = 0.0  # the usual one
     offers: list[tuple[float, Build]] = field(default_factory=list)
     troubles: list[Trouble] = field(default_factory=list)
 
@@ -167,6 +185,9 @@
     for at, offer in enumerate(top["offer"] or []):
         if (offer["kind"] == "product") != ("product" in offer) or offer.get("product", "") not in ("", *demand):
             tree.complain(tree.at("offer", at), "kind 'product' names a product that is asked for; others none")
+    for at, trouble in enumerate(top["trouble"] or []):
+        if trouble["kind"] in WORD_TROUBLES and not top["view"]:
+            tree.complain(tree.at("trouble", at), "without 'view yes' umpires say nothing to each other")
     if tree.faults:
         raise Faults(tree.faults)
     seed = top["seed"] if seed is None else seed
@@ -177,4 +198,5 @@
         Shape(boxes["cores"], boxes["queue"], fall_for=boxes["fall-for"], report_every=boxes["report-every"]),
         boxes["boot"], boxes["drain-for"], demand, _drawn(random, top["traffic"], 0.0), top["roster-late"],
         top["news-late"], top["cross-delay"], top["notice"], Manners(retries=top["retries"]), top["uneven"],
-        _offers(top["offer"] or [], random), _troubles(top["trouble"] or [], top["troubles"], random))
+        top["view"], top["view-period"] or 0.0, _offers(top["offer"] or [], random),
+        _troubles(top["trouble"] or [], top["troubles"], random))
--- a/stepsail/standins/rehearsal.py
+++ b/stepsail/standins/rehearsal.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 from collections.abc import Callable
+from dataclasses import asdict, replace
 from functools import partial
 from itertools import count
 from pathlib import Path
@@ -17,7 +18,10 @@
 from stepsail.http import BadMessage, Bounds, Outlet, Progress, encode_request
 from stepsail.loop import Closed, Loop, Stream, TimedOut
 from stepsail.loop.driver import Address
-from stepsail.standins.day import Day, Trouble
+from stepsail.membership import Promises, Terms
+from stepsail.membership.terms import PERIOD
+from stepsail.standins.day import WORD_TROUBLES, Day, Trouble
+from stepsail.standins.switch import Switch, Ways
 from stepsail.standins.transcript import Transcript
 from stepsail.standins.world import World
 
@@ -26,7 +30,9 @@
 STOP_WITHIN = 20.0  # s that an umpire may take to leave
 PAUSES = (2.0, 4.0)  # s between an umpire's pauses
 LOOK = 0.05  # s between looks at processes
-UMPIRE_TROUBLES = ("kill-umpire", "stop-umpire", "restart-umpires", "pause-umpires")
+UMPIRE_TROUBLES = ("kill-umpire", "stop-umpire", "restart-umpires", "pause-umpires", "leave-umpires", "kill-umpires",
+                   "stop-umpires")
+SEEDS = 3  # umpires that are named to all as where to find the others
 
 
 NUMBERS = count()
@@ -52,6 +58,10 @@
         self.file, self.log = out / f"umpire-{number}.conf", out / f"umpire-{number}.log"
         self.transcript = transcript
 
+    def free_address(self) -> Address:
+        """An address where nobody listens, on the network that this umpire is on."""
+        return free_address()
+
     def start(self) -> None:
         raise NotImplementedError
 
@@ -151,6 +161,7 @@
         out.mkdir(parents=True, exist_ok=True)
         self.transcript = Transcript(loop, out / "transcript.jsonl")
         self.codes: list[int | None] = []
+        self.over = False
 
     def run(self) -> None:
         """Raises RuntimeError where an umpire does not become ready."""
@@ -171,7 +182,7 @@
         return orders, [zones[n % len(zones)] for n in range(self.day.umpires)]
 
     def _write(self, file: Path, number: int, zone: str, listen: Address, conveyor: Address, roster: Address,
-               hears: list[Address] | None = None) -> None:
+               hears: list[Address] | None = None, switch: Switch | None = None) -> None:
         lines = [f"umpire {number} of {self.day.umpires}", f"zone {zone}", f"listen {listen[0]}:{listen[1]}",
                  f"conveyor {conveyor[0]}:{conveyor[1]}", f"seed {self.day.seed * 1000 + number}",
                  f"roster {roster[0]}:{roster[1]} asked keep {file.stem}-roster.json",
@@ -179,6 +190,10 @@
         if hears:
             lines += [f"neighbours {hears[number][0]}:{hears[number][1]} {{",
                       *(f"    neighbour {n} {h}:{p}" for n, (h, p) in enumerate(hears)), "}"]
+        if switch:
+            lines += ["view {}:{} reached {}:{} {{".format(*switch.homes[number], *switch.addresses[number]),
+                      *("    seed {}:{}".format(*switch.addresses[n]) for n in sorted(switch.homes)[:SEEDS]),
+                      *([f"    period {self.day.view_period * 1000:g}ms"] if self.day.view_period else []), "}"]
         file.write_text("\n".join(lines) + "\n", "utf-8")
 
     def _run(self) -> None:
@@ -187,18 +202,30 @@
         world = World(loop, day, orders, self.transcript, zones)
         self.transcript.add("day", "facts", name=day.name, seed=day.seed, **world.facts())
         self.umpires = [self.hire(loop, n, zone, self.out, self.transcript) for n, zone in enumerate(zones)]
+        self.switch = self._switch(world) if day.view else None
         try:
             for umpire in self.umpires:
                 self._write(umpire.file, umpire.number, umpire.zone, umpire.listen,
                             world.service_for(umpire.number, world.conveyor.service.address),
-                            world.service_for(umpire.number, world.roster.service.address))
+                            world.service_for(umpire.number, world.roster.service.address), switch=self.switch)
                 umpire.start()
             self._wait_ready()
             self._play(world)
         finally:
+            self.over = True
             for umpire in self.umpires:
                 self.codes.append(umpire.leave())
 
+    def _switch(self, world: World) -> Switch:
+        """A port for each umpire, and one of its own behind it."""
+        free = self.umpires[0].free_address
+        homes = {u.number: free() for u in self.umpires}
+        switch = Switch(self.loop, world.chance("words"), homes, {n: free() for n in homes})
+        offset = self.loop.driver.wall() - self.loop.now()
+        promises = Promises.of(Terms(self.day.view_period or PERIOD), self.day.umpires)
+        self.transcript.add("day", "view", umpires=self.day.umpires, wall=round(offset, 6), **asdict(promises))
+        return switch
+
     def _wait_ready(self) -> None:
         until = self.loop.now() + READY_WITHIN
         for umpire in self.umpires:
@@ -229,6 +256,9 @@
         self.loop.sleep(trouble.at)
         self.transcript.add("day", "trouble", kind=trouble.kind, of=trouble.of, length=trouble.length,
                             size=trouble.size, part=trouble.part)
+        if trouble.kind in WORD_TROUBLES and self.switch:
+            self._words(world, self.switch, trouble)
+            return
         if trouble.kind not in UMPIRE_TROUBLES:
             end = world.begin(trouble)
             self.loop.sleep(trouble.length)
@@ -238,22 +268,76 @@
             self._stand_still(self.umpires[trouble.of], trouble.length)
         elif trouble.kind == "kill-umpire":
             self._killed(world, self.umpires[trouble.of], trouble.length)
+        elif trouble.kind in ("kill-umpires", "stop-umpires"):
+            for umpire in self._part(world, trouble):
+                if trouble.kind == "kill-umpires":
+                    self.loop.spawn(self._killed, world, umpire, trouble.length, name="kill")
+                else:
+                    self.loop.spawn(self._stand_still, umpire, trouble.length, name="stop")
         else:
             self._many(world, trouble)
 
     def _many(self, world: World, trouble: Trouble) -> None:
         """A part of the umpires, each at times of its own."""
         random = world.chance(f"{trouble.kind} {trouble.at}")
-        for umpire in random.sample(self.umpires, max(1, round(trouble.part * len(self.umpires)))):
-            if trouble.kind == "restart-umpires":
+        for umpire in self._part(world, trouble):
+            if trouble.kind in ("restart-umpires", "leave-umpires"):
+                ends = self._killed if trouble.kind == "restart-umpires" else self._left
                 self.loop.after(random.uniform(0.0, trouble.length), partial(
-                    self.loop.spawn, self._killed, world, umpire, random.uniform(0.2, 2.0), name="restart"))
+                    self.loop.spawn, ends, world, umpire, random.uniform(0.2, 2.0), name="restart"))
                 continue
             at = random.uniform(0.0, PAUSES[1])
             while at < trouble.length:
                 self.loop.after(at, partial(self.loop.spawn, self._stand_still, umpire, trouble.size, name="pause"))
                 at += trouble.size + random.uniform(*PAUSES)
 
+    def _part(self, world: World, trouble: Trouble) -> list[Actor]:
+        """The umpires that a trouble befalls."""
+        random = world.chance(f"{trouble.kind} {trouble.at} who")
+        return random.sample(self.umpires, max(1, round(trouble.part * len(self.umpires))))
+
+    def _words(self, world: World, switch: Switch, trouble: Trouble) -> None:
+        """What goes wrong with the words between umpires; every fault with its true time in the transcript."""
+        if trouble.kind in ("lose-words", "double-words", "late-words", "old-words"):
+            usual = switch.ways
+            switch.ways = {"lose-words": replace(usual, lose=trouble.part),
+                           "double-words": replace(usual, twice=trouble.part),
+                           "late-words": replace(usual, delay=(usual.delay[0], usual.delay[1] + trouble.size)),
+                           "old-words": replace(usual, again=trouble.part)}[trouble.kind]
+            self._said_words(switch.ways)
+            self.loop.sleep(trouble.length)
+            fresh = Ways()
+            back = {"lose-words": {"lose": fresh.lose}, "double-words": {"twice": fresh.twice},
+                    "late-words": {"delay": fresh.delay}, "old-words": {"again": fresh.again}}[trouble.kind]
+            switch.ways = replace(switch.ways, **back)  # type: ignore[arg-type]
+            self._said_words(switch.ways)
+            return
+        side = sorted(u.number for u in self._part(world, trouble))
+        ways = switch.between(side, trouble.kind != "deafen-umpires", trouble.kind != "mute-umpires")
+        until = self.loop.now() + trouble.length
+        turn = trouble.size if trouble.kind == "flap-umpires" else trouble.length
+        while self.loop.now() < until:
+            switch.cut(trouble, ways)
+            self.transcript.add("words", "cut", side=side, says=trouble.kind != "deafen-umpires",
+                                hears=trouble.kind != "mute-umpires")
+            self.loop.sleep(min(turn, until - self.loop.now()))
+            switch.heal(trouble)
+            self.transcript.add("words", "healed", side=side)
+            if self.loop.now() < until:
+                self.loop.sleep(min(turn, until - self.loop.now()))
+
+    def _said_words(self, ways: Ways) -> None:
+        self.transcript.add("words", "ways", lose=ways.lose, twice=ways.twice, delay=ways.delay[1], again=ways.again)
+
+    def _left(self, world: World, umpire: Actor, seconds: float) -> None:
+        """Told to leave, and started again this long after its end."""
+        if umpire.ended():
+            return
+        front = world.fronts[umpire.zone]
+        front.dead_at[umpire.number] = self.loop.now()
+        umpire.leave()
+        self._again(world, umpire, seconds)
+
     def _stand_still(self, umpire: Actor, seconds: float) -> None:
         umpire.send(signal.SIGSTOP, "stopped")
         self.loop.sleep(seconds)
@@ -263,10 +347,14 @@
         if umpire.ended():
             return
         umpire.kill()
-        front = world.fronts[umpire.zone]
-        front.dead_at[umpire.number] = self.loop.now()
+        world.fronts[umpire.zone].dead_at[umpire.number] = self.loop.now()
+        self._again(world, umpire, seconds)
+
+    def _again(self, world: World, umpire: Actor, seconds: float) -> None:
         self.loop.sleep(seconds)
+        if self.over:
+            return  # the day has ended meanwhile
         umpire.start()
         while not umpire.ready():
             self.loop.sleep(LOOK)
-        front.dead_at.pop(umpire.number, None)
+        world.fronts[umpire.zone].dead_at.pop(umpire.number, None)
--- /dev/null
+++ b/stepsail/umpire/fellows.py
@@ -0,0 +1,102 @@
+"""This umpire's part in the fleet's view: carries the words of `membership` over datagrams and logs what changes."""
+
+from __future__ import annotations
+
+from typing import Any
+from zlib import crc32
+
+from stepsail.charter import Orders
+from stepsail.loop import Datagrams, Loop
+from stepsail.membership import Members, Terms, View
+from stepsail.membership.terms import PERIOD
+from stepsail.umpire.host import Log
+
+BURST, A_SECOND = 400.0, 400.0  # datagrams heard at once, and a second; more are passed over, as if lost
+
+
+class Fellows:
+    """Does nothing where the orders have no view. The view is evidence of a bounded age: no rule rests on it."""
+
+    def __init__(self, loop: Loop, orders: Orders, log: Log, seed: int) -> None:
+        self.loop, self.log, self.told = loop, log, 0
+        self.members: Members | None = None
+        self.wakes_at = float("inf")
+        self.left, self.since, self.passed_over = BURST, loop.now(), 0
+        if orders.view:
+            view, charter = orders.view, orders.charter
+            self.socket = Datagrams(loop, view.hears)
+            start = int(loop.driver.wall() * 1000)
+            self.members = Members(charter.me, start, orders.zones[charter.zone], view.reached, view.seeds, seed,
+                                   loop.now(), Terms(view.period or PERIOD), crc32(view.fleet.encode()))
+
+    @property
+    def view(self) -> View | None:
+        """Who is there; None without a view, and before the first words."""
+        return self.members.view() if self.members else None
+
+    def listen(self) -> None:
+        """For ever: hear, and let what is due be done."""
+        assert self.members
+        self.log.info("view_begins", number=self.members.me.number, start=self.members.me.start)
+        self._beat()
+        while True:
+            data, _ = self.socket.receive()
+            if self._bears():
+                self.members.heard(data, self.loop.now())
+                self._after()
+
+    def leave(self) -> None:
+        """Tell the others that this umpire goes."""
+        if self.members:
+            self.members.leave(self.loop.now())
+            self._after()
+
+    def page(self) -> dict[str, Any]:
+        """The view for those who ask this umpire."""
+        if self.members is None:
+            return {"view": None}
+        view = self.members.view()
+        return {"view": {
+            "me": self.members.me.number, "start": self.members.me.start, "version": view.version,
+            "digest": view.digest, "settled": view.settled, "minority": view.minority, "displaced": view.displaced,
+            "gone": list(view.gone), "strain": self.members.strain, "counts": dict(self.members.counts),
+            "passed_over": self.passed_over,
+            "members": [{"number": m.number, "start": m.start, "zone": m.zone, "address": "{}:{}".format(*m.address),
+                         "standing": m.standing.name.lower(), "for": round(self.loop.now() - m.since, 3)}
+                        for m in view.members]}}
+
+    def _bears(self) -> bool:
+        """Guards against floods: whoever sends them, this umpire's transactions come first."""
+        now = self.loop.now()
+        self.left, self.since = min(BURST, self.left + (now - self.since) * A_SECOND), now
+        if self.left < 1:
+            self.passed_over += 1
+            return False
+        self.left -= 1
+        return True
+
+    def _beat(self) -> None:
+        assert self.members
+        self.wakes_at = float("inf")
+        self.members.tick(self.loop.now())
+        self._after()
+
+    def _after(self) -> None:
+        assert self.members
+        for to, data in self.members.take_out():
+            self.socket.send(data, to)
+        for change in self.members.take_changes():
+            self.log.info("member", number=change.number, start=change.start, now=change.now.name.lower(),
+                          was=change.was.name.lower() if change.was is not None else "unknown", why=change.why)
+        view = self.members.view()
+        if view.version != self.told:
+            self.told = view.version
+            self.log.info("view", version=view.version, present=len(view.members), digest=view.digest,
+                          settled=view.settled, minority=view.minority, displaced=view.displaced)
+        if self.members.next_at < self.wakes_at:
+            self.wakes_at = self.members.next_at
+            self.loop.at(self.wakes_at, self._due)
+
+    def _due(self) -> None:
+        if self.loop.now() >= self.wakes_at:  # else one that was set earlier is meant by a later timer
+            self._beat()
--- a/stepsail/umpire/life.py
+++ b/stepsail/umpire/life.py
@@ -16,6 +16,7 @@
 from stepsail.umpire.account import Account
 from stepsail.umpire.conveyor import Conveyor
 from stepsail.umpire.door import Door
+from stepsail.umpire.fellows import Fellows
 from stepsail.umpire.host import Held, Host, Log
 from stepsail.umpire.neighbours import Neighbours
 from stepsail.umpire.nodes import Nodes
@@ -36,10 +37,13 @@
         self.host = Host(loop, orders, log, verbose)
         self.nodes = Nodes(loop, orders, self.host, OwnWire(orders))
         self.account = Account(loop, orders, log)
-        self.door = Door(loop, orders, self.host, log, self.account, OwnSpeech(orders, self.host))
+        speech = OwnSpeech(orders, self.host)
+        self.door = Door(loop, orders, self.host, log, self.account, speech)
         self.conveyor = Conveyor(loop, orders, self.host, log, self.seed, self.account)
         self.roster = Roster(loop, orders, self.host, log, self.seed, self.account)
         self.neighbours = Neighbours(loop, orders, self.host)
+        self.fellows = Fellows(loop, orders, log, self.seed)
+        speech.pages[b"fleet"] = self.fellows.page
         self.stopped = Event(loop)
         self.capture: CaptureWriter | None = None
         if orders.capture:
@@ -94,6 +98,8 @@
             tasks.append(self.loop.spawn(self.account.windows, name="exposure", essential=True))
         if self.orders.hears:
             tasks.append(self.loop.spawn(self.neighbours.listen, name="neighbours", essential=True))
+        if self.orders.view:
+            tasks.append(self.loop.spawn(self.fellows.listen, name="fellows", essential=True))
         opening = self.loop.spawn(self._open, name="opening", essential=True)
         self.stopped.wait(why="a signal to stop")
         opening.cancel()
@@ -112,6 +118,7 @@
     def _leave(self, tasks: list[Task]) -> int:
         self.log.info("leaving", held=len(self.host.held))
         self.door.leave()
+        self.fellows.leave()
         in_time = self.answer_held()
         for task in tasks:
             task.cancel()
--- a/stepsail/umpire/speech.py
+++ b/stepsail/umpire/speech.py
@@ -10,8 +10,9 @@
 import math
 import os
 import re
+from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Any, Protocol
 
 import msgspec
 
@@ -66,6 +67,7 @@
 
     def __init__(self, orders: Orders, host: Host) -> None:
         self.orders, self.host = orders, host
+        self.pages: dict[bytes, Callable[[], Any]] = {}  # what else may be asked of this umpire, as JSON
         self.tenants = {name.encode(): at for at, name in enumerate(orders.tenants)}
         self.tenant_header = orders.tenant_header.lower().encode()
         self.subject_header = orders.subject_header.lower().encode()
@@ -114,6 +116,8 @@
     def _own(self, request: Request, ready: bool) -> Response:
         if request.target == OWN + b"ready" and request.method == b"GET":
             return Response(200, [], b"ready\n") if ready else self.bad(503, "not ready")
+        if (page := self.pages.get(request.target[len(OWN):])) and request.method == b"GET":
+            return Response(200, [JSON], msgspec.json.encode(page()) + b"\n")
         if request.target == OWN + b"contested" and request.method == b"POST":
             return self._contested(request)
         return self.bad(404, "nothing here")
--- /dev/null
+++ b/tests/fleet/test_view_processes.py
@@ -0,0 +1,25 @@
+"""The fleet's view kept by processes of the real program, with faults between them."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from stepsail.loop import Loop, PollDriver
+from stepsail.standins.day import read_day
+from stepsail.standins.rehearsal import Rehearsal
+from stepsail.verify.fleet import read_fleet
+
+DAY = Path(__file__).parents[2] / "days" / "fleet" / "processes.conf"
+
+
+def test_a_small_day_on_processes_keeps_its_promises(tmp_path: Path) -> None:
+    driver = PollDriver()
+    loop = Loop(driver, lambda event, **fields: None)
+    rehearsal = Rehearsal(loop, read_day(DAY), tmp_path)
+    try:
+        loop.run(rehearsal.run)
+    finally:
+        driver.shutdown()
+    fleet = read_fleet(tmp_path)
+    assert fleet.judge() == [] and rehearsal.codes == [0] * 5
+    assert fleet.judged["completeness"] >= 3 and fleet.judged["settling"] >= 5
