--- a/stepsail/cli/main.py
+++ b/stepsail/cli/main.py
@@ -25,7 +25,7 @@
 from stepsail.charter import reference as reference_page
 from stepsail.charter.move import moved, put
 from stepsail.charter.words import KINDS
-from stepsail.cli import captures, logs, trails
+from stepsail.cli import captures, fleets, logs, trails
 from stepsail.emulate.clockwork import Stuck
 from stepsail.emulate.play import play
 from stepsail.loop import Loop, PollDriver
@@ -83,7 +83,8 @@
     """A transaction router and release judge."""
 
 
-for command in (captures.capture, captures.replay_command, captures.explain, captures.view, trails.trail):
+for command in (captures.capture, captures.replay_command, captures.explain, captures.view, trails.trail,
+                fleets.fleet):
     main.add_command(command)
 
 
--- /dev/null
+++ b/stepsail/fleet/plan.py
@@ -0,0 +1,128 @@
+"""A fleet's file: how many umpires, by which settings, where each listens; and each umpire's own file from it."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from stepsail.charter.read import Faults, Reader
+from stepsail.charter.words import SHARE, TIME, Word, arg
+
+Address = tuple[str, int]
+LAST_PORT = 65535
+SEEDS = 3  # umpires that are named to all as where to find the others
+
+WORDS = (
+    Word("umpires", "How many, numbered from 0; their zones go by turns.", (
+        arg("count", "whole", minimum=1, maximum=1000),), needed=True),
+    Word("zones", "All zones, by name.", (arg("names", "text", rest=True),), needed=True),
+    Word("common", "File of the settings that all umpires have in common, beside this one.", (
+        arg("file", "text"),), needed=True),
+    Word("listen", "Where clients reach umpire 0; each further one has the next port.", (
+        arg("address", "address"),), needed=True),
+    Word("conveyor", "Where release control answers.", (arg("address", "address"),), needed=True),
+    Word("roster", "Where the roster answers, and whether it is asked or pushes.", (
+        arg("address", "address"), arg("how", "text", enum=["asked", "pushed"])), needed=True),
+    Word("view", "Where umpire 0 speaks with the others about who is there; each further one has the next port. "
+         "Absent: no view.", (
+             arg("address", "address"), arg("period", "time", keyword="period", optional=True, **TIME))),
+    Word("neighbours", "Where umpire 0 hears what the others saw; each further one has the next port. Absent: "
+         "umpires do not speak of it.", (arg("address", "address"),)),
+    Word("folder", "Where settings, logs and kept lists of the umpires go, beside this file.", (
+        arg("folder", "text"),), absent="fleet"),
+    Word("control", "Where the running fleet is asked and told; on this machine only.", (arg("address", "address"),),
+         needed=True),
+    Word("roll-part", "Part of the umpires that may be away at once while all are restarted; one at least.", (
+        arg("part", "share", **SHARE),), absent=0.1))
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """What a fleet's file says."""
+
+    umpires: int
+    zones: tuple[str, ...]
+    common: Path
+    listen: Address
+    conveyor: Address
+    roster: Address
+    roster_how: str
+    view: Address | None
+    view_period: float
+    neighbours: Address | None
+    folder: Path
+    control: Address
+    part: float
+
+    def at(self, base: Address, number: int) -> Address:
+        return base[0], base[1] + number
+
+    def file(self, number: int) -> Path:
+        return self.folder / f"umpire-{number}.conf"
+
+    def log(self, number: int) -> Path:
+        return self.folder / f"umpire-{number}.log"
+
+    def settings(self, number: int) -> str:
+        """The text of one umpire's file."""
+        def put(address: Address, by: int = 0) -> str:
+            return "{}:{}".format(*self.at(address, by))
+        lines = [f"umpire {number} of {self.umpires}", f"zones {' '.join(self.zones)}",
+                 f"zone {self.zones[number % len(self.zones)]}", f"listen {put(self.listen, number)}",
+                 f"conveyor {put(self.conveyor)}",
+                 f"roster {put(self.roster)} {self.roster_how} keep umpire-{number}-roster.json",
+                 f"include {json.dumps(str(self.common.resolve()))}"]
+        if self.view:
+            lines += [f"view {put(self.view, number)} {{",
+                      *(f"    seed {put(self.view, n)}" for n in range(min(SEEDS, self.umpires))),
+                      *([f"    period {self.view_period * 1000:g}ms"] if self.view_period else []), "}"]
+        if self.neighbours:
+            lines += [f"neighbours {put(self.neighbours, number)} {{",
+                      *(f"    neighbour {n} {put(self.neighbours, n)}" for n in range(self.umpires)), "}"]
+        return "\n".join(lines) + "\n"
+
+
+def _address(text: str) -> Address:
+    host, port = text.rsplit(":", 1)
+    return host, int(port)
+
+
+def read_plan(file: Path) -> Plan:
+    """Raises Faults with everything that is wrong."""
+    tree = Reader(WORDS).read(file)
+    if tree.faults:
+        raise Faults(tree.faults)
+    top: dict[str, Any] = {w.name: w.absent for w in WORDS} | tree.values
+    spans: list[tuple[str, int, int, str]] = []
+    for word in ("listen", "view", "neighbours"):
+        given = top[word]
+        if given is None:
+            continue
+        host, first = _address(given["address"] if isinstance(given, dict) else given)
+        last = first + top["umpires"] - 1
+        if last > LAST_PORT:
+            tree.complain(tree.at(word), f"the ports of {top['umpires']} umpires go up to {last}")
+        for name, low, high, other in spans:
+            # Datagrams have ports of their own; two words that both take them, or both streams, must not meet.
+            if other == host and {word, name} == {"view", "neighbours"} and low <= last and first <= high:
+                tree.complain(tree.at(word), f"these ports meet those of '{name}'")
+        spans.append((word, first, last, host))
+    control = _address(top["control"])
+    listen = _address(top["listen"])
+    if control[0] == listen[0] and listen[1] <= control[1] < listen[1] + top["umpires"]:
+        tree.complain(tree.at("control"), "this port is one of the umpires' own")
+    if not control[0].startswith("127."):
+        tree.complain(tree.at("control"), "only an address of this machine's own (127.0.0.0/8): whoever reaches it "
+                      "may stop the fleet")
+    common = file.parent / top["common"]
+    if not common.is_file():
+        tree.complain(tree.at("common"), f"there is no file {top['common']}")
+    if tree.faults:
+        raise Faults(tree.faults)
+    view = top["view"]
+    return Plan(top["umpires"], tuple(top["zones"]), common, listen, _address(top["conveyor"]),
+                _address(top["roster"]["address"]), top["roster"]["how"], _address(view["address"]) if view else None,
+                (view or {}).get("period", 0.0), _address(top["neighbours"]) if top["neighbours"] else None,
+                file.parent / top["folder"], control, top["roll-part"])
