--- a/stepsail/standins/rehearsal.py
+++ b/stepsail/standins/rehearsal.py
@@ -241,7 +241,8 @@
         for at, build in self.day.offers:
             loop.after(at, lambda build=build: world.conveyor.offer(build))  # type: ignore[misc]
         for trouble in self.day.troubles:
-            loop.spawn(self._trouble, world, trouble, name=f"trouble {trouble.kind}")
+            # Essential: a trouble that fails would leave a day without it, and the day would seem well borne.
+            loop.spawn(self._trouble, world, trouble, name=f"trouble {trouble.kind}", essential=True)
         arrivals = loop.spawn(crowd.arrive, start + self.day.length, name="arrivals", essential=True)
         while not arrivals.done:
             loop.sleep(0.25)
@@ -317,11 +318,11 @@
         until = self.loop.now() + trouble.length
         turn = trouble.size if trouble.kind == "flap-umpires" else trouble.length
         while self.loop.now() < until:
-            switch.cut(trouble, ways)
+            switch.cut(id(trouble), ways)
             self.transcript.add("words", "cut", side=side, says=trouble.kind != "deafen-umpires",
                                 hears=trouble.kind != "mute-umpires")
             self.loop.sleep(min(turn, until - self.loop.now()))
-            switch.heal(trouble)
+            switch.heal(id(trouble))
             self.transcript.add("words", "healed", side=side)
             if self.loop.now() < until:
                 self.loop.sleep(min(turn, until - self.loop.now()))
--- a/stepsail/standins/switch.py
+++ b/stepsail/standins/switch.py
@@ -36,7 +36,7 @@
     def __init__(self, loop: Loop, random: Random, homes: dict[int, Address], at: dict[int, Address]) -> None:
         self.loop, self.random, self.homes, self.ways = loop, random, homes, Ways()
         self.whose = {address: number for number, address in homes.items()}
-        self.cuts: dict[object, frozenset[tuple[int, int]]] = {}  # by the trouble that made them
+        self.cuts: dict[int, frozenset[tuple[int, int]]] = {}  # by whoever made them
         self.old: deque[tuple[int, int, bytes]] = deque(maxlen=KEPT)
         self.under_way = self.carried = self.strangers = 0
         self.ports = {number: Datagrams(loop, at[number]) for number in homes}
@@ -44,12 +44,12 @@
         for number in homes:
             loop.spawn(self._carry, number, name=f"switch {number}")
 
-    def cut(self, trouble: object, ways: Iterable[tuple[int, int]]) -> None:
-        """Until `heal(trouble)` nothing passes from the first to the second of each pair."""
-        self.cuts[trouble] = frozenset(ways)
+    def cut(self, by: int, ways: Iterable[tuple[int, int]]) -> None:
+        """Until `heal(by)` nothing passes from the first to the second of each pair."""
+        self.cuts[by] = frozenset(ways)
 
-    def heal(self, trouble: object) -> None:
-        self.cuts.pop(trouble, None)
+    def heal(self, by: int) -> None:
+        self.cuts.pop(by, None)
 
     def between(self, side: Collection[int], says: bool = True, hears: bool = True) -> list[tuple[int, int]]:
         """All ways between these and the others: what they say, what they hear."""
