--- a/stepsail/cli/main.py
+++ b/stepsail/cli/main.py
@@ -29,6 +29,7 @@
 from stepsail.emulate.clockwork import Stuck
 from stepsail.emulate.play import play
 from stepsail.loop import Loop, PollDriver
+from stepsail.loop.skew import Skew, SkewedDriver
 from stepsail.standins.day import read_day
 from stepsail.standins.rehearsal import Rehearsal, processes
 from stepsail.trail.committer import Locked
@@ -95,7 +96,8 @@
 
 @main.command()
 @click.argument("file", type=FILE)
-def umpire(file: Path) -> None:
+@click.option("--clock", hidden=True, help="Rehearsals run it under a clock that is wrong: RATE,BY@AT.")
+def umpire(file: Path, clock: str | None) -> None:
     """Run one umpire by its file of settings, until SIGTERM."""
     try:
         orders = read_orders(file)
@@ -103,7 +105,10 @@
         _tell_faults(faults)
         sys.exit(MISUSED)
     log = logs.begin(orders.log_form, orders.log_level, umpire=orders.charter.me)
-    driver = PollDriver()
+    try:
+        driver = SkewedDriver(Skew.read(clock)) if clock else PollDriver()
+    except ValueError as wanted:
+        raise click.BadParameter(str(wanted), param_hint="--clock") from None
     loop = Loop(driver, lambda event, **fields: log.warning(event, **fields))
     try:
         code = loop.run(Daemon(loop, orders, Umpire, log, orders.log_level == "debug").run)
--- a/stepsail/emulate/actors.py
+++ b/stepsail/emulate/actors.py
@@ -64,7 +64,9 @@
 
     def start(self) -> None:
         name = f"umpire {self.number}"
-        self.machine = Machine(self.clockwork, EmulatedDriver(self.clockwork, self.network, name), name, self._main)
+        driver = EmulatedDriver(self.clockwork, self.network, name)
+        driver.skew = self.skew
+        self.machine = Machine(self.clockwork, driver, name, self._main)
         self.machine.start()
         self.transcript.add("umpire", "started", umpire=self.number)
 
--- a/stepsail/emulate/driver.py
+++ b/stepsail/emulate/driver.py
@@ -11,12 +11,16 @@
 from stepsail.emulate.network import DatagramPort, ListenerPort, Network, Port, StreamPort
 from stepsail.loop import driver as seam
 from stepsail.loop.driver import READ, WRITE, Address
+from stepsail.loop.skew import Skew
 
 if TYPE_CHECKING:
     from stepsail.emulate.clockwork import Machine
     from stepsail.loop.hub import Waiter
 
 
+STRAIGHT = Skew()
+
+
 class EmulatedDriver:
     """One machine's view of clock and network. `post` is for this one thread: an emulation has no other."""
 
@@ -30,19 +34,22 @@
         self.calls: dict[int, Callable[[], object]] = {}
         self.posted: deque[Callable[[], object]] = deque()
         self.rounds, self.instant = 0, 0.0
+        self.skew, self.began = Skew(), clockwork.now
         self.shut = False
 
     def now(self) -> float:
-        return self.clockwork.now
+        return self.clockwork.now if self.skew == STRAIGHT else self.skew.shown(self.began, self.clockwork.now)
 
-    wall = now
+    def wall(self) -> float:
+        return self.clockwork.now
 
     def poll(self, timeout: float | None) -> None:
         if timeout != 0 and not self.marked and not self.signals and not self.posted:
             # At least to the next instant that the clock can show: the loop's sums may fall short of a timer by a
             # rounding, and would then wait for no time at all, for ever.
             now = self.clockwork.now
-            self.machine.park(math.inf if timeout is None else max(now + timeout, math.nextafter(now, math.inf)))
+            until = math.inf if timeout is None else now + timeout / self.skew.rate
+            self.machine.park(max(until, math.nextafter(now, math.inf)))
         if self.instant != self.clockwork.now:
             self.instant, self.rounds = self.clockwork.now, 0
         self.rounds += 1
--- a/stepsail/standins/day.py
+++ b/stepsail/standins/day.py
@@ -9,6 +9,7 @@
 
 from stepsail.charter.read import Faults, Reader
 from stepsail.charter.words import SHARE, TIME, Word, arg
+from stepsail.loop.skew import Skew
 from stepsail.standins.box import Shape
 from stepsail.standins.builds import KINDS, Build
 from stepsail.standins.clients import Manners
@@ -79,6 +80,13 @@
     Word("view", "Umpires keep a view of the fleet, and the rig carries their words.", (arg("yes", "yes"),),
          absent=False),
     Word("view-period", "Time between an umpire's probes of the others.", (arg("time", "time", **TIME),)),
+    Word("clock", "An umpire's clock runs so many times as fast, and from a time after each start on it is ahead or "
+         "back by so much.", (
+             arg("of", "whole"), arg("rate", "numbers", keyword="rate", optional=True, minimum=0.5, maximum=2),
+             arg("ahead", "times", keyword="ahead", optional=True, **TIME),
+             arg("back", "times", keyword="back", optional=True, **TIME),
+             arg("time", "times", keyword="at", optional=True, **TIME),
+             arg("chance", "share", keyword="chance", optional=True, **SHARE)), many=True),
     Word("uneven", "So many times more goes to a zone's first umpire than to its last.",
          (arg("times", "number", minimum=1, maximum=1000),), absent=1.0),
     Word("retries", "Tries beyond the first.", (arg("count", "whole", maximum=10),), absent=2),
@@ -133,6 +141,7 @@
     view_period: float = 0.0  # the usual one
     offers: list[tuple[float, Build]] = field(default_factory=list)
     troubles: list[Trouble] = field(default_factory=list)
+    clocks: dict[int, Skew] = field(default_factory=dict)
 
 
 def _drawn(random: Random, ends: list[Any] | None, absent: float) -> Any:
@@ -172,6 +181,17 @@
     return drawn
 
 
+def _clocks(told: list[dict[str, Any]], random: Random) -> dict[int, Skew]:
+    drawn = {}
+    for clock in told:
+        ahead, back = _drawn(random, clock.get("ahead"), 0.0), _drawn(random, clock.get("back"), 0.0)
+        skew = Skew(round(_drawn(random, clock.get("rate"), 1.0), 4), round(ahead - back, 3),
+                    round(_drawn(random, clock.get("time"), 0.0), 3))
+        if random.random() < clock.get("chance", 1.0):
+            drawn[clock["of"]] = skew
+    return drawn
+
+
 def read_day(file: Path, seed: int | None = None) -> Day:
     """What is given as a range is drawn by this seed, or by the file's own. Raises Faults with all that is wrong."""
     tree = Reader(WORDS).read(file)
@@ -182,6 +202,9 @@
         most = {"box": boxes["count"], "umpire": top["umpires"]}.get(trouble["kind"].split("-")[-1], 1 << 30)
         if trouble.get("of", [0, 0])[1] >= most:
             tree.complain(tree.at("trouble", at, "of"), f"there are only {most}, numbered from 0")
+    for at, clock in enumerate(top["clock"] or []):
+        if clock["of"] >= top["umpires"]:
+            tree.complain(tree.at("clock", at), f"there are only {top['umpires']} umpires, numbered from 0")
     for at, offer in enumerate(top["offer"] or []):
         if (offer["kind"] == "product") != ("product" in offer) or offer.get("product", "") not in ("", *demand):
             tree.complain(tree.at("offer", at), "kind 'product' names a product that is asked for; others none")
@@ -192,7 +215,7 @@
         raise Faults(tree.faults)
     seed = top["seed"] if seed is None else seed
     random = Random(f"{seed} draw")
-    return Day(
+    day = Day(
         file.parent.name if file.stem == "day" else file.stem, file.parent / top["site"], top["length"],
         seed, top["umpires"], boxes["count"],
         Shape(boxes["cores"], boxes["queue"], fall_for=boxes["fall-for"], report_every=boxes["report-every"]),
@@ -200,3 +223,5 @@
         top["news-late"], top["cross-delay"], top["notice"], Manners(retries=top["retries"]), top["uneven"],
         top["view"], top["view-period"] or 0.0, _offers(top["offer"] or [], random),
         _troubles(top["trouble"] or [], top["troubles"], random))
+    day.clocks = _clocks(top["clock"] or [], random)
+    return day
--- a/stepsail/standins/rehearsal.py
+++ b/stepsail/standins/rehearsal.py
@@ -18,6 +18,7 @@
 from stepsail.http import BadMessage, Bounds, Outlet, Progress, encode_request
 from stepsail.loop import Closed, Loop, Stream, TimedOut
 from stepsail.loop.driver import Address
+from stepsail.loop.skew import Skew
 from stepsail.membership import Promises, Terms
 from stepsail.membership.terms import PERIOD
 from stepsail.standins.day import WORD_TROUBLES, Day, Trouble
@@ -56,7 +57,7 @@
                  transcript: Transcript) -> None:
         self.loop, self.number, self.zone, self.listen = loop, number, zone, listen
         self.file, self.log = out / f"umpire-{number}.conf", out / f"umpire-{number}.log"
-        self.transcript = transcript
+        self.transcript, self.skew = transcript, Skew()
 
     def free_address(self) -> Address:
         """An address where nobody listens, on the network that this umpire is on."""
@@ -123,7 +124,8 @@
 
     def start(self) -> None:
         with self.log.open("ab") as log:
-            self.process = subprocess.Popen([*self.command, str(self.file)], stdin=subprocess.DEVNULL,
+            clock = [] if self.skew == Skew() else ["--clock", self.skew.put()]
+            self.process = subprocess.Popen([*self.command, str(self.file), *clock], stdin=subprocess.DEVNULL,
                                             stdout=log, stderr=log)
         self.transcript.add("umpire", "started", umpire=self.number)
 
@@ -202,6 +204,9 @@
         world = World(loop, day, orders, self.transcript, zones)
         self.transcript.add("day", "facts", name=day.name, seed=day.seed, **world.facts())
         self.umpires = [self.hire(loop, n, zone, self.out, self.transcript) for n, zone in enumerate(zones)]
+        for number, skew in day.clocks.items():
+            self.umpires[number].skew = skew
+            self.transcript.add("day", "clock", umpire=number, rate=skew.rate, by=skew.by, after=skew.at)
         self.switch = self._switch(world) if day.view else None
         try:
             for umpire in self.umpires:
--- a/stepsail/verify/fleet.py
+++ b/stepsail/verify/fleet.py
@@ -69,7 +69,7 @@
 
     def runs(self, start: float, end: float, longest_stop: float = 0.0) -> bool:
         """Whether it ran all this time but for stops up to so long."""
-        if self.begins > start or min(self.ends, self.told_to_leave) < end:
+        if start > end or self.begins > start or min(self.ends, self.told_to_leave) < end:
             return False
         return all(b < start or a > end or b - a <= longest_stop for a, b in self.stops)
 
@@ -157,7 +157,7 @@
             at = line.get("at")  # an emulated log has the transcript's own clock
             if at is None:
                 at = datetime.fromisoformat(line["timestamp"]).timestamp() - self.facts["wall"]
-            life = next((x for x in reversed(mine) if x.begins <= at + SLACK), None)
+            life = next((x for x in reversed(mine) if x.begins <= at), None)  # its start is written before it can log
             if life is None:
                 continue
             if line["event"] == "view_begins" or line["number"] == umpire:
--- /dev/null
+++ b/tests/loop/test_skew.py
@@ -0,0 +1,48 @@
+"""A clock that is wrong: what it shows, and that waits under it last as long as it says."""
+
+from __future__ import annotations
+
+import time
+
+import pytest
+
+from stepsail.emulate.clockwork import Clockwork, Machine
+from stepsail.emulate.driver import EmulatedDriver
+from stepsail.emulate.network import Network
+from stepsail.loop import Loop
+from stepsail.loop.skew import Skew, SkewedDriver
+
+
+def test_what_it_shows_and_how_it_is_told() -> None:
+    skew = Skew(1.05, -3.0, 20.0)
+    assert skew.shown(100.0, 110.0) == pytest.approx(110.5) and skew.shown(100.0, 120.0) == pytest.approx(118.0)
+    assert Skew.read(skew.put()) == skew == Skew.read("1.05,-3@20")
+    for bad in ("", "1.05", "0.01,0@0", "1,x@3"):
+        with pytest.raises(ValueError, match="RATE,BY@AT"):
+            Skew.read(bad)
+
+
+def test_a_wait_lasts_as_long_as_the_clock_says() -> None:
+    driver = SkewedDriver(Skew(2.0))
+    try:
+        began = time.monotonic()
+        loop = Loop(driver)
+        loop.run(loop.sleep, 0.2)
+        assert 0.09 < time.monotonic() - began < 0.19
+    finally:
+        driver.shutdown()
+
+
+def test_an_emulated_clock_runs_slow_and_jumps() -> None:
+    clockwork = Clockwork(1)
+    driver = EmulatedDriver(clockwork, Network(clockwork, 1), "one")
+    driver.skew = Skew(0.5, 10.0, 30.0)
+
+    def main(loop: Loop) -> tuple[float, float]:
+        start, true = loop.now(), clockwork.now
+        loop.sleep(5.0)
+        slow = clockwork.now - true
+        loop.sleep(12.0)
+        return slow, loop.now() - start
+    slow, shown = clockwork.run(Machine(clockwork, driver, "one", lambda loop: loop.run(main, loop)))
+    assert slow == pytest.approx(10.0) and shown >= 17.0 and clockwork.now - 1000.0 <= 34.0 + 1e-6
