--- a/tests/verify/test_view_checker.py
+++ b/tests/verify/test_view_checker.py
@@ -104,11 +104,11 @@
 
 
 def test_what_an_earlier_life_says_just_before_the_next_one_is_its_own() -> None:
-    # Told to leave while it stood still, one said so when it went on, 0.4 s before its next start: taken for the later
-    # life's word, the others' "left" seemed to be of one that runs (emulated day, seed 211).
+    # Told to leave while it stood still, one said so when it went on, 0.4 s before its next start: taken for the
+    # later life's word, the others' "left" seemed to be of one that runs (emulated day, seed 211).
     lines, logs = clean()
-    lines[-1:-1] = [umpire(t, 2, what) for t, what in ((100.0, "stopped"), (105.0, "told to leave"), (110.0, "continued"),
-                                                      (110.1, "ended"), (110.4, "started"))]
+    told = ((100.0, "stopped"), (105.0, "told to leave"), (110.0, "continued"), (110.1, "ended"), (110.4, "started"))
+    lines[-1:-1] = [umpire(t, 2, what) for t, what in told]
     logs[2] += [member(110.0, 2, "alive", 2), {"at": 110.5, "event": "view_begins", "number": 2, "start": 22},
                 member(110.6, 1, "alive"), member(110.6, 3, "alive", 33)]
     for n in (1, 3):
