--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -332,10 +332,9 @@
             share = took / self.product.abandon if outcome is Outcome.HANDLED else 1.0
             word = (relay.server, relay.build, self.product.index, bisect_left(EDGES, share))
             if not self.stuck:
-                # Guards against servers slow without being full: fewer relays make none faster. Where others
-                # wait, timely ones narrow too: late ones come when hundreds of umpires have filled them.
+                # Guards against servers slow without being full: fewer relays make none faster.
                 if timely or relay.server.queue > 0 or umpire.host.clock - relay.server.heard_at > OLD_LOAD:
-                    umpire.widen(timely and not (report and 0 < relay.server.queue < inf))
+                    umpire.widen(timely)
                 # Guards against blaming a build for a crowd, or by late ones of before all began anew.
                 if relay.old_enough and umpire.crowded < CROWDED and relay.at >= umpire.panel.since:
                     umpire.panel.learn(*word)
@@ -374,8 +373,9 @@
         sure = self.pools or voices == 1 or not charter.neighbours
         self.goes_on = sure and charter.control is not Control.CLOCK
         self.level = LEVEL / (len(self.judges) if self.pools else voices)
-        self.calm, self.tallies, self.lately = dict[int, Sample](), dict[int, Samples](), dict[int, Sample]()
-        self.newest, self.fade_at, self.new = dict[int, Sample](), 0.0, False
+        self.calm, self.tallies = dict[int, Sample](), dict[int, Samples]()
+        self.lately, self.newest = dict[int, Sample](), dict[int, Sample]()
+        self.fade_at, self.new = 0.0, False
 
     def learn(self, server: Server, build: int, product: int, place: int, own: bool = True) -> None:
         sides, trial = [self.lately, self.newest], self.umpire.trial
