--- a/bench/fleet_times.py
+++ b/bench/fleet_times.py
@@ -42,13 +42,13 @@
     fleet = read_fleet(out)
     lines = [json.loads(line) for line in (out / "transcript.jsonl").read_text("utf-8").splitlines()]
     told = [(x["t"], x["what"]) for x in lines if x["at"] in ("umpire", "words") and x["what"] in (
-        "killed", "started", "ended", "cut", "healed", "stopped", "continued")]
+        "killed", "started", "told to leave", "ended", "cut", "healed", "stopped", "continued")]
     first = max(t for t, what in told[:size])
     events = [(t, what) for t, what in told if t > first and t < fleet.ends_at - 1.0]
     times = {"join of all": known_after(fleet, first, events[0][0])}
     for at, (t, what) in enumerate(events):
         following = events[at + 1][0] if at + 1 < len(events) else fleet.ends_at
-        if what not in ("cut", "stopped"):
+        if what not in ("cut", "stopped", "told to leave"):
             times.setdefault(what, known_after(fleet, t, following))
     false = sum(b.promise == "accuracy" for b in fleet.judge())
     return {"umpires": size, "seed": seed, "s": times, "promises broken": len(fleet.judge()), "false": false,
