--- a/stepsail/charter/orders.py
+++ b/stepsail/charter/orders.py
@@ -10,6 +10,7 @@
 from stepsail.charter.words import DOOR, LIMITS, RELEASE, SAID_IN_SHAPE_2, SERVERS, WORDS, Word
 from stepsail.interface import Charter, Control, Group, Product, Repeat
 
+LONGEST_ZONE = 64  # characters that words of the fleet's view have room for
 COLUMNS = {"queue": "q", "inflight": "rif", "util": "busy", "latency_ms": "lat_ms"}  # the module's names
 
 
@@ -43,6 +44,8 @@
         tree.complain(tree.at("zone"), f"'{top['zone']}' is none of the zones {', '.join(top['zones'])}")
     if len(set(top["zones"])) < len(top["zones"]):
         tree.complain(tree.at("zones"), "a zone is named twice")
+    if "view" in top and len(top["zone"]) > LONGEST_ZONE:
+        tree.complain(tree.at("zone"), f"with a view a zone's name has at most {LONGEST_ZONE} characters")
     if top["umpire"]["number"] >= top["umpire"]["count"]:
         tree.complain(tree.at("umpire", "number"),
                       f"umpires are numbered from 0 to {top['umpire']['count'] - 1}")
--- a/stepsail/membership/view.py
+++ b/stepsail/membership/view.py
@@ -38,10 +38,6 @@
         """Equal where the same lives are held to be there; a suspect still is."""
         return crc32(b"".join(b"%d.%d;" % (m.number, m.start) for m in self.members))
 
-    @property
-    def numbers(self) -> tuple[int, ...]:
-        return tuple(m.number for m in self.members)
-
 
 @dataclass(frozen=True, slots=True)
 class Change:
--- a/stepsail/umpire/fellows.py
+++ b/stepsail/umpire/fellows.py
@@ -31,7 +31,7 @@
 
     @property
     def view(self) -> View | None:
-        """Who is there; None without a view, and before the first words."""
+        """Who is there; None without a view."""
         return self.members.view() if self.members else None
 
     def listen(self) -> None:
@@ -53,9 +53,9 @@
 
     def page(self) -> dict[str, Any]:
         """The view for those who ask this umpire."""
-        if self.members is None:
+        view = self.view
+        if view is None or self.members is None:
             return {"view": None}
-        view = self.members.view()
         return {"view": {
             "me": self.members.me.number, "start": self.members.me.start, "version": view.version,
             "digest": view.digest, "settled": view.settled, "minority": view.minority, "displaced": view.displaced,
--- a/tests/charter/test_settings.py
+++ b/tests/charter/test_settings.py
@@ -11,6 +11,7 @@
 
 from stepsail.charter import Faults, read_orders
 from stepsail.charter.grammar import Garbled, parse_line
+from stepsail.charter.shape import ViewOrders
 from stepsail.charter.told import pairs_of_text, read_charter
 
 TOLD = [
@@ -93,6 +94,17 @@
         read_orders(file)
 
 
+def test_a_view_of_the_fleet_is_read_and_bounded(tmp_path: Path) -> None:
+    view = ("view 127.0.0.1:9300 reached 127.0.0.2:9400 {\n    seed 127.0.0.1:9301\n    period 250ms\n"
+            "    fleet north\n}\n")
+    orders = read_orders(written(tmp_path, GOOD + view))
+    assert orders.view == ViewOrders(("127.0.0.1", 9300), ("127.0.0.2", 9400), (("127.0.0.1", 9301),), 0.25, "north")
+    assert read_orders(written(tmp_path, GOOD)).view is None
+    bare = read_orders(written(tmp_path, GOOD + "view 127.0.0.1:9300 {\n}\n")).view
+    assert bare == ViewOrders(("127.0.0.1", 9300), ("127.0.0.1", 9300), (), 0.0, "stepsail")
+    assert any("at most 64 characters" in t for t in faults(tmp_path, (GOOD + view).replace("hall-b", "h" * 65)))
+
+
 def test_an_included_file_stands_where_it_is_named_and_is_named_in_its_faults(tmp_path: Path) -> None:
     (tmp_path / "stages.conf").write_text("stage 5% cap 8%\nstage 2% cap 1\n")
     text = GOOD.replace("    stage 5% cap 8.5%\n    stage 100% cap 1\n", "    include stages.conf\n")
--- a/tests/membership/lab.py
+++ b/tests/membership/lab.py
@@ -107,9 +107,6 @@
     def views(self) -> dict[int, View]:
         return {n.number: n.members.view() for n in self.live()}
 
-    def truth(self) -> tuple[int, ...]:
-        return tuple(sorted(n.number for n in self.nodes.values() if n.up))
-
     def agreed(self) -> bool:
         """Whether all hold the same and true view."""
         views = [n.members.view() for n in self.live()]
--- a/tests/membership/test_model.py
+++ b/tests/membership/test_model.py
@@ -86,7 +86,8 @@
     @rule()
     def in_time_all_hold_what_the_model_holds(self) -> None:
         self.lab.run(Promises.of(Terms(), SIZE).settle + 20.0)  # and as long as a clock that jumped back stood still
-        assert {n: v.numbers for n, v in self.lab.views().items()} == {n: tuple(sorted(self.up)) for n in self.up}
+        assert {n: {m.number for m in v.members} for n, v in self.lab.views().items()} == {
+            n: self.up for n in self.up}
         assert self.lab.agreed()
 
 
