One place each: an address taken apart, a zone's longest name, who hears of a doubt first

Cause: read again, the change had HOST:PORT taken apart twice, the bound on a zone's name twice, the suspect's own record put first in three places, and an order of events told by the wording of a log line. Change: charter.shape has the address and the bound; _doubts_of; a later life is told by its start. No decision changes.

--- a/stepsail/charter/orders.py
+++ b/stepsail/charter/orders.py
@@ -6,19 +6,13 @@
 from typing import Any
 
 from stepsail.charter.read import Faults, Reader, Tree
-from stepsail.charter.shape import Address, Orders, Route, ViewOrders
+from stepsail.charter.shape import LONGEST_ZONE, Orders, Route, ViewOrders, address_of
 from stepsail.charter.words import DOOR, LIMITS, RELEASE, SAID_IN_SHAPE_2, SERVERS, WORDS, Word
 from stepsail.interface import Charter, Control, Group, Product, Repeat
 
-LONGEST_ZONE = 64  # characters that words of the fleet's view have room for
 COLUMNS = {"queue": "q", "inflight": "rif", "util": "busy", "latency_ms": "lat_ms"}  # the module's names
 
 
-def _address(text: str) -> Address:
-    host, port = text.rsplit(":", 1)
-    return host, int(port)
-
-
 def _filled(values: dict[str, Any], words: tuple[Word, ...]) -> dict[str, Any]:
     return {w.name: w.absent for w in words} | values
 
@@ -95,9 +89,9 @@
 
 def _view(given: dict[str, Any]) -> ViewOrders:
     filled = _filled(given, next(w.block for w in WORDS if w.name == "view"))
-    hears = _address(given["address"])
-    return ViewOrders(hears, _address(given["reached"]) if "reached" in given else hears,
-                      tuple(_address(s) for s in filled["seed"] or ()), filled["period"] or 0.0, filled["fleet"])
+    hears = address_of(given["address"])
+    return ViewOrders(hears, address_of(given["reached"]) if "reached" in given else hears,
+                      tuple(address_of(s) for s in filled["seed"] or ()), filled["period"] or 0.0, filled["fleet"])
 
 
 def _orders(tree: Tree, file: Path) -> Orders:
@@ -133,10 +127,10 @@
         charter, tuple(p["name"] for p in top["product"]), tuple(top["zones"]),
         tuple(t["name"] for t in tenants),
         tuple(Route(r["method"], r["path"], at) for at, p in enumerate(top["product"]) for r in p["route"]),
-        _address(top["listen"]), _address(top["conveyor"]), _address(roster["address"]),
+        address_of(top["listen"]), address_of(top["conveyor"]), address_of(roster["address"]),
         file.parent / roster["keep"] if "keep" in roster else None,
-        _address(hears["address"]) if hears else None,
-        {n["number"]: _address(n["address"]) for n in hears.get("neighbour", [])},
+        address_of(hears["address"]) if hears else None,
+        {n["number"]: address_of(n["address"]) for n in hears.get("neighbour", [])},
         top.get("seed"), servers["connections"], servers["connect-wait"], limits["answer-slack"],
         door["connections"], door["open"], door["head"], door["body"], door["hold"], door["idle"],
         door["slow-sender"],
--- a/stepsail/charter/shape.py
+++ b/stepsail/charter/shape.py
@@ -8,6 +8,13 @@
 from stepsail.interface import Charter
 
 Address = tuple[str, int]
+LONGEST_ZONE = 64  # characters that words of the fleet's view have room for
+
+
+def address_of(text: str) -> Address:
+    """HOST:PORT, checked before, taken apart."""
+    host, port = text.rsplit(":", 1)
+    return host, int(port)
 
 
 @dataclass(frozen=True, slots=True)
--- a/stepsail/fleet/plan.py
+++ b/stepsail/fleet/plan.py
@@ -8,9 +8,9 @@
 from typing import Any
 
 from stepsail.charter.read import Faults, Reader
+from stepsail.charter.shape import Address, address_of
 from stepsail.charter.words import SHARE, TIME, Word, arg
 
-Address = tuple[str, int]
 LAST_PORT = 65535
 SEEDS = 3  # umpires that are named to all as where to find the others
 
@@ -84,11 +84,6 @@
         return "\n".join(lines) + "\n"
 
 
-def _address(text: str) -> Address:
-    host, port = text.rsplit(":", 1)
-    return host, int(port)
-
-
 def read_plan(file: Path) -> Plan:
     """Raises Faults with everything that is wrong."""
     tree = Reader(WORDS).read(file)
@@ -100,7 +95,7 @@
         given = top[word]
         if given is None:
             continue
-        host, first = _address(given["address"] if isinstance(given, dict) else given)
+        host, first = address_of(given["address"] if isinstance(given, dict) else given)
         last = first + top["umpires"] - 1
         if last > LAST_PORT:
             tree.complain(tree.at(word), f"the ports of {top['umpires']} umpires go up to {last}")
@@ -109,8 +104,8 @@
             if other == host and {word, name} == {"view", "neighbours"} and low <= last and first <= high:
                 tree.complain(tree.at(word), f"these ports meet those of '{name}'")
         spans.append((word, first, last, host))
-    control = _address(top["control"])
-    listen = _address(top["listen"])
+    control = address_of(top["control"])
+    listen = address_of(top["listen"])
     if control[0] == listen[0] and listen[1] <= control[1] < listen[1] + top["umpires"]:
         tree.complain(tree.at("control"), "this port is one of the umpires' own")
     if not control[0].startswith("127."):
@@ -122,7 +117,7 @@
     if tree.faults:
         raise Faults(tree.faults)
     view = top["view"]
-    return Plan(top["umpires"], tuple(top["zones"]), common, listen, _address(top["conveyor"]),
-                _address(top["roster"]["address"]), top["roster"]["how"], _address(view["address"]) if view else None,
-                (view or {}).get("period", 0.0), _address(top["neighbours"]) if top["neighbours"] else None,
+    return Plan(top["umpires"], tuple(top["zones"]), common, listen, address_of(top["conveyor"]),
+                address_of(top["roster"]["address"]), top["roster"]["how"],
+                address_of(view["address"]) if view else None, (view or {}).get("period", 0.0), address_of(top["neighbours"]) if top["neighbours"] else None,
                 file.parent / top["folder"], control, top["roll-part"])
--- a/stepsail/membership/members.py
+++ b/stepsail/membership/members.py
@@ -12,9 +12,10 @@
 from math import inf
 from zlib import crc32
 
+from stepsail.charter.shape import Address
 from stepsail.membership.known import Known, Suspicion
 from stepsail.membership.news import News
-from stepsail.membership.records import PRESENT, Address, Identity, Record, Standing
+from stepsail.membership.records import PRESENT, Identity, Record, Standing
 from stepsail.membership.terms import (
     ASK_GONE,
     ASK_SEED,
@@ -225,8 +226,8 @@
         self.counts["stood still"] += 1
         self.probe, self.errands, self.strain = None, {}, min(MOST_STRAIN, self.strain + 1)
         for known in self.suspects.values():
-            if known.suspicion:
-                known.suspicion = Suspicion(self.now, known.suspicion.voices)
+            assert known.suspicion
+            known.suspicion = Suspicion(self.now, known.suspicion.voices)
         if self.duel:
             self.duel = (*self.duel[:2], self.now + DUEL * self.terms.period)
         self.turn_at = self.compare_at = self.now
@@ -270,11 +271,13 @@
 
     def _ping(self, known: Known) -> int:
         self.serial += 1
-        # Lifeguard: the suspect hears of it first, from whoever asks it.
-        first = () if known.record.standing is Standing.ALIVE else (known.record,)
-        self._send(known.record.address, Kind.PING, self.serial, known.record.number, first=first)
+        self._send(known.record.address, Kind.PING, self.serial, known.record.number, first=self._doubts_of(known))
         return self.serial
 
+    def _doubts_of(self, known: Known | None) -> tuple[Record, ...]:
+        """Lifeguard: the suspect hears of it first, from whoever speaks to it."""
+        return (known.record,) if known and known.record.standing is not Standing.ALIVE else ()
+
     def _ask_helpers(self, probe: Probe) -> None:
         probe.helped = True
         target = self.known.get(probe.target.number)
@@ -341,12 +344,11 @@
 
     def _answer(self, known: Known, sender: Record, word: Word) -> None:
         if word.kind is Kind.PING and sender.standing in PRESENT:
-            first = () if known.record.standing is Standing.ALIVE else (known.record,)
-            self._send(sender.address, Kind.ACK, word.serial, self.me.number, first=first)
+            self._send(sender.address, Kind.ACK, word.serial, self.me.number, first=self._doubts_of(known))
         elif word.kind is Kind.ACK:
             self._acked(known, word)
         elif word.kind is Kind.ASK and word.about_at:
-            self._errand(sender.address, word)
+            self._errand(sender.address, word, word.about_at)
         elif word.kind is Kind.NACK and self.probe and self.probe.serial == word.serial:
             self.probe.helpers.discard(sender.number)
         elif word.kind is Kind.COMPARE and word.load:
@@ -367,15 +369,13 @@
             del self.errands[word.serial]
             self._send(errand.asker, Kind.ACK, errand.serial, errand.about)
 
-    def _errand(self, asker: Address, word: Word) -> None:
-        if len(self.errands) >= MOST_ERRANDS or word.about_at is None or word.about == self.me.number:
+    def _errand(self, asker: Address, word: Word, at: Address) -> None:
+        if len(self.errands) >= MOST_ERRANDS or word.about == self.me.number:
             self.counts["errands refused"] += 1
             return
         self.serial += 1
         self.errands[self.serial] = Errand(asker, word.serial, word.about, self.now + self._direct() * 1.5)
-        known = self.known.get(word.about)
-        first = (known.record,) if known and known.record.standing is not Standing.ALIVE else ()
-        self._send(word.about_at, Kind.PING, self.serial, word.about, first=first)
+        self._send(at, Kind.PING, self.serial, word.about, first=self._doubts_of(self.known.get(word.about)))
 
     def _errands_over(self) -> None:
         for serial, errand in [(s, e) for s, e in self.errands.items() if self.now >= e.until]:
@@ -507,15 +507,16 @@
 
     def _put(self, known: Known, record: Record, why: str) -> None:
         was, before = known.record.standing, known.present
+        later_life = record.standing is Standing.ALIVE and record.start != known.record.start
         if record.start != known.record.start:
             known.highest, known.window, known.spoke_at = -1, 0, -inf
         known.record, known.suspicion = record, None
         self.suspects.pop(record.number, None)
         self.present += known.present - before
         self._digests = None
-        if was is not record.standing or why == "a later start":
+        if was is not record.standing or later_life:
             known.since = self.now
-            if known.present and (not before or why == "a later start"):
+            if known.present and (not before or later_life):
                 known.there_since = self.now
                 self.order.insert(int(self._chance() * (len(self.order) + 1)), record.number)
             self._changed(Change(record.number, record.start, was, record.standing, why))
--- a/stepsail/membership/records.py
+++ b/stepsail/membership/records.py
@@ -8,9 +8,9 @@
 
 import msgspec
 
-Address = tuple[str, int]
+from stepsail.charter.shape import LONGEST_ZONE, Address
+
 BYTE = r"(25[0-5]|2[0-4]\d|1?\d?\d)"
-LONGEST_ZONE = 64  # characters
 Number = Annotated[int, msgspec.Meta(ge=0, le=1 << 20)]
 Count = Annotated[int, msgspec.Meta(ge=0, le=1 << 50)]
 Zone = Annotated[str, msgspec.Meta(max_length=LONGEST_ZONE)]
--- a/stepsail/membership/view.py
+++ b/stepsail/membership/view.py
@@ -5,7 +5,8 @@
 from dataclasses import dataclass
 from zlib import crc32
 
-from stepsail.membership.records import Address, Standing
+from stepsail.charter.shape import Address
+from stepsail.membership.records import Standing
 
 
 @dataclass(frozen=True, slots=True)
