--- a/stepsail/fleet/plan.py
+++ b/stepsail/fleet/plan.py
@@ -119,5 +119,6 @@
     view = top["view"]
     return Plan(top["umpires"], tuple(top["zones"]), common, listen, address_of(top["conveyor"]),
                 address_of(top["roster"]["address"]), top["roster"]["how"],
-                address_of(view["address"]) if view else None, (view or {}).get("period", 0.0), address_of(top["neighbours"]) if top["neighbours"] else None,
+                address_of(view["address"]) if view else None, (view or {}).get("period", 0.0),
+                address_of(top["neighbours"]) if top["neighbours"] else None,
                 file.parent / top["folder"], control, top["roll-part"])
