One question over HTTP in one place; a fault of words is put on and taken off by its name

Cause: read again, the fleet's runner had written anew what a rehearsal's umpire is asked by (connect, ask, close), the commands made a loop twice, and the rehearsal listed each fault of words twice, to put it on and to take it off. Change: http/once.py, used by both; _answer under _ask; a table of which field a fault is.

--- a/stepsail/cli/fleets.py
+++ b/stepsail/cli/fleets.py
@@ -17,10 +17,12 @@
 from stepsail.charter import Faults
 from stepsail.cli import logs
 from stepsail.fleet.plan import Plan, read_plan
-from stepsail.fleet.runner import Runner, asked
+from stepsail.fleet.runner import Runner
+from stepsail.http.once import ask_once
 from stepsail.loop import Loop, PollDriver
 
 BAD, MISUSED, FAILED = 1, 2, 4
+WAIT = 2.0  # s for the fleet to take a connection, and to answer
 EVERY = 0.5  # s between looks of the live table
 FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
 
@@ -39,21 +41,29 @@
         sys.exit(MISUSED)
 
 
-def _ask(plan: Plan, path: bytes, method: bytes = b"GET") -> dict[str, Any]:
-    """What the running fleet answers; ends with code 4 where none runs."""
+def _answer(plan: Plan, path: bytes, method: bytes = b"GET") -> dict[str, Any]:
+    """What the running fleet answers; raises OSError where none does."""
     driver = PollDriver()
     loop = Loop(driver, lambda event, **fields: None)
     try:
-        _, body = loop.run(lambda: asked(loop, plan.control, path, method, 2.0))
-        found: dict[str, Any] = msgspec.json.decode(body)
+        found: dict[str, Any] = msgspec.json.decode(
+            loop.run(ask_once, loop, plan.control, path, method, WAIT, WAIT).body)
         return found
-    except (OSError, msgspec.DecodeError) as trouble:
-        click.echo(f"no fleet answers at {plan.control[0]}:{plan.control[1]}: {trouble}", err=True)
-        sys.exit(FAILED)
+    except msgspec.DecodeError as trouble:
+        raise OSError(str(trouble)) from trouble
     finally:
         driver.shutdown()
 
 
+def _ask(plan: Plan, path: bytes, method: bytes = b"GET") -> dict[str, Any]:
+    """The same, for a command that ends with code 4 where no fleet runs."""
+    try:
+        return _answer(plan, path, method)
+    except OSError as trouble:
+        click.echo(f"no fleet answers at {plan.control[0]}:{plan.control[1]}: {trouble}", err=True)
+        sys.exit(FAILED)
+
+
 @fleet.command()
 @click.argument("file", type=FILE)
 def run(file: Path) -> None:
@@ -130,14 +140,9 @@
     """Tell all umpires to leave, and end."""
     plan = _plan(file)
     _ask(plan, b"/stop", b"POST")
-    driver = PollDriver()
-    loop = Loop(driver, lambda event, **fields: None)
-    try:
-        while wait:
-            try:
-                loop.run(lambda: asked(loop, plan.control, b"/status"))
-            except OSError:
-                return
-            time.sleep(EVERY)
-    finally:
-        driver.shutdown()
+    while wait:
+        try:
+            _answer(plan, b"/status")
+        except OSError:
+            return
+        time.sleep(EVERY)
--- a/stepsail/fleet/runner.py
+++ b/stepsail/fleet/runner.py
@@ -13,9 +13,9 @@
 
 from stepsail.fleet.keeper import Act, Keeper, State
 from stepsail.fleet.plan import Plan
-from stepsail.http import BadMessage, Bounds, Inlet, Outlet, Progress, encode_request, encode_response
-from stepsail.loop import Closed, Listener, Loop, Stream, TimedOut
-from stepsail.loop.driver import Address
+from stepsail.http import BadMessage, Bounds, Inlet, encode_response
+from stepsail.http.once import ask_once
+from stepsail.loop import Listener, Loop, Stream
 from stepsail.umpire.host import Log
 
 LOOK = 0.1  # s between looks at processes
@@ -25,20 +25,6 @@
 JSON = (b"content-type", b"application/json")
 
 
-def asked(loop: Loop, to: Address, path: bytes, method: bytes = b"GET", within: float = ASK) -> tuple[int, bytes]:
-    """One question over HTTP: status and body. Raises OSError where there is no whole answer in time."""
-    try:
-        stream = Stream.connect(loop, to, within)
-        try:
-            answer = Outlet(loop, stream, Bounds()).exchange(encode_request(method, path, [(b"host", b"fleet")]),
-                                                             loop.now() + within, Progress())
-            return answer.status, answer.body
-        finally:
-            stream.close()
-    except (TimedOut, Closed, BadMessage) as trouble:
-        raise OSError(f"no whole answer: {trouble}") from trouble
-
-
 class Runner:
     """One fleet of processes."""
 
@@ -121,11 +107,12 @@
             at = self.plan.at(self.plan.listen, number)
             try:
                 starting = self.keeper.units[number].state is State.STARTING
-                if starting and asked(self.loop, at, b"/.stepsail/ready")[0] == 200:
+                if starting and ask_once(self.loop, at, b"/.stepsail/ready").status == 200:
                     self.keeper.ready(number, self.loop.now())
                     self.log.info("ready", umpire=number)
                 if self.plan.view and self.keeper.units[number].state is State.READY:
-                    self.views[number] = msgspec.json.decode(asked(self.loop, at, b"/.stepsail/fleet")[1])["view"]
+                    page = ask_once(self.loop, at, b"/.stepsail/fleet").body
+                    self.views[number] = msgspec.json.decode(page)["view"]
             except (OSError, msgspec.DecodeError, KeyError):
                 self.views.pop(number, None)
 
--- a/stepsail/standins/rehearsal.py
+++ b/stepsail/standins/rehearsal.py
@@ -9,14 +9,14 @@
 import subprocess
 import sys
 from collections.abc import Callable
-from dataclasses import asdict, replace
+from dataclasses import asdict
 from functools import partial
 from itertools import count
 from pathlib import Path
 
 from stepsail.charter import Orders, read_orders
-from stepsail.http import BadMessage, Bounds, Outlet, Progress, encode_request
-from stepsail.loop import Closed, Loop, Stream, TimedOut
+from stepsail.http.once import ask_once
+from stepsail.loop import Loop
 from stepsail.loop.driver import Address
 from stepsail.loop.skew import Skew
 from stepsail.membership import Promises, Terms
@@ -33,6 +33,7 @@
 LOOK = 0.05  # s between looks at processes
 UMPIRE_TROUBLES = ("kill-umpire", "stop-umpire", "restart-umpires", "pause-umpires", "leave-umpires", "kill-umpires",
                    "stop-umpires")
+FAULTS_OF_WORDS = {"lose-words": "lose", "double-words": "twice", "late-words": "delay", "old-words": "again"}
 SEEDS = 3  # umpires that are named to all as where to find the others
 
 
@@ -101,15 +102,8 @@
     def ready(self) -> bool:
         """Whether it says that it is; waits a moment for its answer."""
         try:
-            stream = Stream.connect(self.loop, self.listen, 0.2)
-            try:
-                outlet = Outlet(self.loop, stream, Bounds())
-                head = [(b"host", b"umpire")]
-                asked = encode_request(b"GET", b"/.stepsail/ready", head)
-                return outlet.exchange(asked, self.loop.now() + 0.5, Progress()).status == 200
-            finally:
-                stream.close()
-        except (OSError, TimedOut, Closed, BadMessage):
+            return ask_once(self.loop, self.listen, b"/.stepsail/ready", connect_within=0.2).status == 200
+        except OSError:
             return False
 
 
@@ -304,18 +298,13 @@
 
     def _words(self, world: World, switch: Switch, trouble: Trouble) -> None:
         """What goes wrong with the words between umpires; every fault with its true time in the transcript."""
-        if trouble.kind in ("lose-words", "double-words", "late-words", "old-words"):
-            usual = switch.ways
-            switch.ways = {"lose-words": replace(usual, lose=trouble.part),
-                           "double-words": replace(usual, twice=trouble.part),
-                           "late-words": replace(usual, delay=(usual.delay[0], usual.delay[1] + trouble.size)),
-                           "old-words": replace(usual, again=trouble.part)}[trouble.kind]
+        if trouble.kind in FAULTS_OF_WORDS:
+            of, usual = FAULTS_OF_WORDS[trouble.kind], Ways()
+            late = (usual.delay[0], usual.delay[1] + trouble.size)
+            setattr(switch.ways, of, late if of == "delay" else trouble.part)
             self._said_words(switch.ways)
             self.loop.sleep(trouble.length)
-            fresh = Ways()
-            back = {"lose-words": {"lose": fresh.lose}, "double-words": {"twice": fresh.twice},
-                    "late-words": {"delay": fresh.delay}, "old-words": {"again": fresh.again}}[trouble.kind]
-            switch.ways = replace(switch.ways, **back)  # type: ignore[arg-type]
+            setattr(switch.ways, of, getattr(usual, of))
             self._said_words(switch.ways)
             return
         side = sorted(u.number for u in self._part(world, trouble))
