Words a second from neighbours and for the view are bounded by one budget

Cause: read again, the view's host had the same sum of burst and rate as the neighbours' words. Change: umpire/budget.py, used by both; bounds as they were.

--- a/stepsail/umpire/fellows.py
+++ b/stepsail/umpire/fellows.py
@@ -9,6 +9,7 @@
 from stepsail.loop import Datagrams, Loop
 from stepsail.membership import Members, Terms, View
 from stepsail.membership.terms import PERIOD
+from stepsail.umpire.budget import Budget
 from stepsail.umpire.host import Log
 
 BURST, A_SECOND = 400.0, 400.0  # datagrams heard at once, and a second; more are passed over, as if lost
@@ -21,7 +22,7 @@
         self.loop, self.log, self.told = loop, log, 0
         self.members: Members | None = None
         self.wakes_at = float("inf")
-        self.left, self.since, self.passed_over = BURST, loop.now(), 0
+        self.budget, self.passed_over = Budget(BURST, A_SECOND, loop.now()), 0
         if orders.view:
             view, charter = orders.view, orders.charter
             self.socket = Datagrams(loop, view.hears)
@@ -41,9 +42,12 @@
         self._beat()
         while True:
             data, _ = self.socket.receive()
-            if self._bears():
+            # Guards against floods: whoever sends them, this umpire's transactions come first.
+            if self.budget.takes(self.loop.now()):
                 self.members.heard(data, self.loop.now())
                 self._after()
+            else:
+                self.passed_over += 1
 
     def leave(self) -> None:
         """Tell the others that this umpire goes."""
@@ -65,16 +69,6 @@
                          "standing": m.standing.name.lower(), "for": round(self.loop.now() - m.since, 3)}
                         for m in view.members]}}
 
-    def _bears(self) -> bool:
-        """Guards against floods: whoever sends them, this umpire's transactions come first."""
-        now = self.loop.now()
-        self.left, self.since = min(BURST, self.left + (now - self.since) * A_SECOND), now
-        if self.left < 1:
-            self.passed_over += 1
-            return False
-        self.left -= 1
-        return True
-
     def _beat(self) -> None:
         assert self.members
         self.wakes_at = float("inf")
--- a/stepsail/umpire/neighbours.py
+++ b/stepsail/umpire/neighbours.py
@@ -10,6 +10,7 @@
 from stepsail.charter import Orders
 from stepsail.interface import ServerHandle, Verdict
 from stepsail.loop import Datagrams, Loop
+from stepsail.umpire.budget import Budget
 from stepsail.umpire.host import Host
 
 VERSION = 1
@@ -26,7 +27,7 @@
         self.loop, self.orders, self.host = loop, orders, host
         self.socket = Datagrams(loop, orders.hears) if orders.hears else None
         self.heard_at: dict[tuple[int, str], float] = {}
-        self.budget: dict[int, tuple[float, float]] = {}
+        self.budget: dict[int, Budget] = {}
         self.said = self.garbled = 0
 
     def _send(self, kind: str, to: Sequence[int], *rest: Any) -> None:
@@ -65,11 +66,10 @@
             return
         if not isinstance(at, float) or not at > self.heard_at.get((who, kind), float("-inf")):
             return
-        left, since = self.budget.get(who, (float(BURST), self.loop.now()))
-        left = min(float(BURST), left + (self.loop.now() - since) * A_SECOND)
-        if left < 1:
+        now = self.loop.now()
+        if not self.budget.setdefault(who, Budget(BURST, A_SECOND, now)).takes(now):
             return
-        self.budget[who], self.heard_at[who, kind] = (left - 1, self.loop.now()), at
+        self.heard_at[who, kind] = at
         if kind == FOUND:
             build, stage, verdict = (int(x) for x in rest)
             self.host.tell(self.host.umpire.neighbour_found, who, build, stage, Verdict(verdict))
