--- a/tests/standins/test_rehearsal.py
+++ b/tests/standins/test_rehearsal.py
@@ -32,12 +32,13 @@
 """
 
 
-def play(folder: Path, *fault: str) -> tuple[int, dict[str, Any]]:
+BROKEN = [sys.executable, str(ROOT / "tests/broken_umpire.py")]
+
+
+def play(folder: Path, program: list[str], *more: str) -> tuple[int, dict[str, Any]]:
     day = folder / "day.conf"
     day.write_text(DAY.format(site=ROOT / "days/bad-day/site.conf"))
-    command = [sys.executable, "-m", "stepsail", "rehearse", str(day), "--json", "--out", str(folder / "out")]
-    for word in [sys.executable, str(ROOT / "tests/broken_umpire.py"), *fault, "umpire"] if fault else []:
-        command += ["--umpire-command", word]
+    command = [*program, "rehearse", str(day), "--json", "--out", str(folder / "out"), *more]
     done = subprocess.run(command, capture_output=True, text=True, timeout=90,
                           env=os.environ | {"PYTHONPATH": str(ROOT)})
     assert done.returncode in (0, 1), done.stderr
@@ -45,12 +46,20 @@
 
 
 def test_a_day_with_an_umpire_that_keeps_the_rules_ends_well(tmp_path: Path) -> None:
-    code, found = play(tmp_path)
+    code, found = play(tmp_path, [sys.executable, "-m", "stepsail"])
     assert (code, found["breaches"], found["umpires_that_left_badly"]) == (0, [], 0)
     assert found["answers"]["handled"] > 150 and found["relays"] >= found["answers"]["handled"]
 
 
+def test_the_same_day_with_a_broken_umpire_fails(tmp_path: Path) -> None:
+    words = [word for part in [*BROKEN, "answers", "umpire"] for word in ("--umpire-command", part)]
+    code, found = play(tmp_path, [sys.executable, "-m", "stepsail"], *words)
+    assert code == 1 and any(b.startswith("rule 1") for b in found["breaches"])
+
+
+# In virtual time: whether one of some thirty irreversible transactions is at a box as it dies is chance on sockets.
+# On a busy machine none was, so that nothing was there to be found.
 @pytest.mark.parametrize(("fault", "rule"), [("exposure", "rule 5"), ("answers", "rule 1"), ("repeats", "rule 2")])
-def test_the_same_day_with_a_broken_umpire_fails(tmp_path: Path, fault: str, rule: str) -> None:
-    code, found = play(tmp_path, fault)
+def test_each_rule_that_is_broken_on_it_is_found(tmp_path: Path, fault: str, rule: str) -> None:
+    code, found = play(tmp_path, [*BROKEN, fault], "--emulated", "--seed", "2")
     assert code == 1 and any(b.startswith(rule) for b in found["breaches"])
