The fleet's view feeds decisions at the charter's door, and carries what umpires saw

Judges, windows, levels and vote spreads went by the settings' number: with three judges gone no umpire of a fleet that speaks can vote a build on.

With 'speak yes' what umpires saw of builds goes over the view's port to whom it shows, under the name of the teller's present life, so that a number that restarts is heard anew and an earlier life is not. 'heeded no' keeps a view without effect. Captured and replayed as a call of its own.

--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -8,7 +8,7 @@
 from bisect import bisect_left, insort
 from collections import deque
 from collections.abc import Sequence
-from heapq import nlargest
+from heapq import nlargest, nsmallest
 from itertools import accumulate
 from math import ceil, exp, inf, log, sqrt
 from zlib import crc32
@@ -71,11 +71,9 @@
     """Largest excess of the earlier build's distribution, products mixed as in the new one's; both counts."""
     both = [p for p in sorted(fresh) if p in before and fresh[p].n and before[p].n]
     n, m = sum(fresh[p].n for p in both), sum(before[p].n for p in both)
-    widest = below = 0.0
-    for edge in range(len(EDGES) if n and m else 0):
-        below += sum(before[p].bins[edge] / before[p].n * fresh[p].n - fresh[p].bins[edge] for p in both) / n
-        widest = max(widest, below)
-    return widest, n, m
+    steps = (sum(before[p].bins[edge] / before[p].n * fresh[p].n - fresh[p].bins[edge] for p in both) / n
+             for edge in range(len(EDGES) if n and m else 0))
+    return max([0.0, *accumulate(steps)]), n, m
 
 
 def doubts(before: Samples, fresh: Samples, edges: Sequence[int]) -> float:
@@ -359,34 +357,33 @@
 
 
 class Panel:
-    since = -inf  # what was sent before is not learned from
-    newest_until, newest = 0.0, dict[int, Sample]()  # so in a captured state from before they were kept
+    since, newest_until, newest = -inf, 0.0, dict[int, Sample]()  # what was sent before is not learned
 
     def __init__(self, umpire: Umpire) -> None:
-        self.umpire, charter = umpire, umpire.charter
-        self.words: list[tuple[Server, int, int, int]] = []
-        self.tell_at: float = 0.0
-        self.judges = sorted(range(charter.umpires), key=lambda number: crc32(b"%d" % number))[:JUDGES]
-        self.pools = charter.neighbours and charter.me in self.judges
-        # where any vote decides, false ones add up, and only judges, who know what all saw, say on
-        voices = 1 if charter.control is Control.SHARE else max(1, charter.umpires)
-        sure = self.pools or voices == 1 or not charter.neighbours
-        self.goes_on = sure and charter.control is not Control.CLOCK
-        self.level = LEVEL / (len(self.judges) if self.pools else voices)
+        self.umpire, self.words, self.tell_at = umpire, list[tuple[Server, int, int, int]](), 0.0
+        self.seat(range(umpire.charter.umpires))
         self.calm, self.tallies = dict[int, Sample](), dict[int, Samples]()
         self.lately, self.newest = dict[int, Sample](), dict[int, Sample]()
         self.fade_at, self.new = 0.0, False
 
+    def seat(self, present: Sequence[int]) -> None:
+        umpire, charter, umpires = self.umpire, self.umpire.charter, self.umpire.place()[1]
+        self.judges = nsmallest(JUDGES, present, lambda number: crc32(b"%d" % number))  # one goes: one moves
+        self.pools = charter.neighbours and charter.me in self.judges
+        # where any vote decides, false ones add up, and only judges, who know what all saw, say on
+        voices = 1 if charter.control is Control.SHARE else umpires
+        self.goes_on = (self.pools or voices * charter.neighbours <= 1) and charter.control != Control.CLOCK
+        self.level = LEVEL / (len(self.judges) if self.pools else voices)
+        umpire.vote_spread = max(0.0, umpires / max(1.0, charter.votes_per_s) - BURST)
+
     def learn(self, server: Server, build: int, product: int, place: int, own: bool = True) -> None:
         sides, trial = [self.lately, self.newest], self.umpire.trial
         if trial and build <= trial.build:
             sides += [trial.before, trial.all_before] if build < trial.build else [trial.fresh]
-        if trial and build == server.build:
-            sides.append(server.seen)
+        sides += [server.seen] * bool(trial and build == server.build)
         for side in sides:
             side.setdefault(product, Sample()).add(place)
-        if own and self.umpire.charter.neighbours:
-            self.words.append((server, build, product, place))
+        self.words += [(server, build, product, place)] * (own and self.umpire.charter.neighbours)
         self.new = True
 
     def forget_lately(self) -> None:
@@ -511,22 +508,21 @@
 
 
 class Umpire:
-    best_way = 0.0  # not known: so in a captured state from before it was kept
+    best_way = vote_spread = 0.0  # not known: so in a captured state from before it was kept
     flows: Sequence[Flow] = ()  # made with the first transaction; so in such a state too
     squeezed = crowded = 0.0  # shares lately: of connects, refused at once; of relays, refused or unreached
+    told_place: tuple[int, int] | None = None  # among those who are there, of how many; None: by settings
 
     def __init__(self, charter: Charter, host: Host, seed: int) -> None:
         self.charter, self.host, self.seed, self.draws, self.round = charter, host, seed, 0, 0
-        self.servers, self.ready = list[Server](), list[Server]()
+        self.servers, self.ready, self.informed = list[Server](), list[Server](), not charter.must_ask
         self.waiting, self.open, self.keys = list[Transaction](), list[Relay](), dict[int, int]()
         self.usual, self.ways = [Pace(PRIOR * p.target) for p in charter.products], dict[int, Pace]()
         self.allowances = [(Times(maxlen=KEPT), Times()) for _ in charter.products]  # taken, sent on trial
         self.window, self.taken, self.panel = WINDOW, Times(maxlen=KEPT), Panel(self)
-        self.vote_spread = max(0.0, charter.umpires / max(1.0, charter.votes_per_s) - BURST)
-        self.build, self.stage, self.phase, self.cap = -1, 0, Phase.RELEASED, 0.0
+        self.build, self.stage, self.phase, self.cap, self.asking = -1, 0, Phase.RELEASED, 0.0, ASK_AGAIN[0]
         self.trial: Trial | None = None
         self.beat_at, self.back_at, self.connects, self.began = inf, 0.0, Pace(0.0), host.clock
-        self.asking, self.informed = ASK_AGAIN[0], not charter.must_ask
         self.watch()
 
     def chance(self) -> float:
@@ -541,10 +537,18 @@
         for server in [s for s in self.servers if whole and s.round != self.round]:
             server.state = Listed.GONE
         ready = sorted((s for s in self.servers if s.state is Listed.READY), key=lambda s: s.address)
-        start = self.charter.me * len(ready) // max(1, self.charter.umpires)
+        start = self.place()[0] * len(ready) // self.place()[1]
         self.round, self.ready = self.round + 1, ready[start:] + ready[:start]
         self.informed |= not cached
 
+    def place(self) -> tuple[int, int]:
+        return self.told_place or (self.charter.me, max(1, self.charter.umpires))
+
+    def fleet_told(self, present: Sequence[int]) -> None:
+        """Who is there to share work, votes and judging: late or wrong it costs service, and no rule."""
+        self.told_place = bisect_left(present, self.charter.me), max(1, len(present))
+        self.panel.seat(present)
+
     def roster_failed(self) -> None:
         self.informed = False
 
@@ -596,9 +600,8 @@
         if len(self.charter.tenant_shares) > 1 or 0 < place <= len(EDGES) and (
                 EDGES[place - 1] >= told.target / told.abandon):
             return  # a late one was told of when it was overdue
-        mine, flows = self.flows[product:product + 1], self.flows[:len(self.usual)]
-        found = [f for f in mine if f.found()]  # one that is stuck says nothing on the others
-        self.weigh(found or [f for f in flows if not f.found()], mine, place == OVERDUE)
+        its, own = self.flows[product:product + 1], self.flows[:len(self.usual)]  # if stuck: of itself alone
+        self.weigh([f for f in its if f.found()] or [f for f in own if not f.found()], its, place == OVERDUE)
 
     def weigh(self, flows: Sequence[Flow], mine: Sequence[Flow], late: bool) -> None:
         """Tell some flows of an ending; where one is found stuck by it, what was seen is nobody's doing."""
@@ -712,7 +715,7 @@
 
     def widen(self, timely: bool) -> None:
         """Guards against overload: a congestion window, narrower by late answers, to one relay a server."""
-        least = len(self.ready) / max(1, self.charter.umpires)
+        least = len(self.ready) / self.place()[1]
         if not timely or 2 * len(self.open) + 2 > self.window:
             step = max(WIDER, min(1.0, least)) / max(1.0, self.window) if timely else -1.0
             self.window = max(least, self.window + step)
@@ -727,7 +730,7 @@
     def tries(self, transaction: Transaction) -> bool:
         """A few of a stuck flow find out whether it still is: they hold places that all others need."""
         held = sum(r.transaction.stuck for r in self.open)
-        part = TRIED * len(self.ready) / max(1, self.charter.umpires)
+        part = TRIED * len(self.ready) / self.place()[1]
         return bool(transaction.relays) or max(transaction.luck, held) < part
 
     def serve_waiting(self, whole: bool) -> None:
--- a/stepsail/capture/entries.py
+++ b/stepsail/capture/entries.py
@@ -33,6 +33,7 @@
     FOUND = 15  # neighbour, build, stage, verdict
     WOKEN = 16  # timer
     STUCK = 17  # neighbour, products
+    FLEET = 18  # numbers present
 
 
 class Asked(IntEnum):
@@ -65,6 +66,7 @@
     Told.PROBED: ("server", "took", "outcome", "report"), Told.CONTESTED: ("server", "product", "since"),
     Told.SAW: ("server", "build", "product", "place"), Told.FOUND: ("neighbour", "build", "stage", "verdict"),
     Told.WOKEN: ("timer",), Told.STUCK: ("neighbour", "products"),
+    Told.FLEET: ("present",),
     Asked.RELAY: ("number", "server", "until"), Asked.WITHDRAW: ("number", "relay"),
     Asked.DENY: ("number", "stay_away"), Asked.ERROR: ("number",), Asked.WAKE: ("after", "timer"),
     Asked.VOTE: ("build", "stage", "verdict"), Asked.PROBE: ("server",), Asked.ASK_LIST: (), Asked.WATCH_LIST: (),
--- a/stepsail/capture/replay.py
+++ b/stepsail/capture/replay.py
@@ -94,6 +94,8 @@
             umpire.neighbour_saw(self.servers[v[0]], *v[1:])
         elif kind is Told.STUCK:
             umpire.neighbour_stuck(v[0], tuple(v[1]))
+        elif kind is Told.FLEET:
+            umpire.fleet_told(tuple(v[0]))
         elif kind is Told.FOUND:
             umpire.neighbour_found(v[0], v[1], v[2], Verdict(v[3]))
         elif kind is Told.MEET:
--- a/stepsail/capture/seam.py
+++ b/stepsail/capture/seam.py
@@ -184,6 +184,9 @@
     def neighbour_stuck(self, neighbour: int, products: Sequence[int]) -> None:
         self.told(Told.STUCK, (neighbour, tuple(products)), self.real.neighbour_stuck, neighbour, products)
 
+    def fleet_told(self, present: Sequence[int]) -> None:
+        self.told(Told.FLEET, (tuple(present),), self.real.fleet_told, present)
+
     # -- as the host -------------------------------------------------------------------------------------
 
     def _transaction(self, real: TransactionHandle) -> RecordedTransaction:
--- a/stepsail/charter/orders.py
+++ b/stepsail/charter/orders.py
@@ -40,6 +40,8 @@
         tree.complain(tree.at("zones"), "a zone is named twice")
     if "view" in top and len(top["zone"]) > LONGEST_ZONE:
         tree.complain(tree.at("zone"), f"with a view a zone's name has at most {LONGEST_ZONE} characters")
+    if "neighbours" in top and top.get("view", {}).get("speak"):
+        tree.complain(tree.at("view", "speak"), "umpires speak by 'neighbours' already; take one of the two out")
     if top["umpire"]["number"] >= top["umpire"]["count"]:
         tree.complain(tree.at("umpire", "number"),
                       f"umpires are numbered from 0 to {top['umpire']['count'] - 1}")
@@ -91,7 +93,8 @@
     filled = _filled(given, next(w.block for w in WORDS if w.name == "view"))
     hears = address_of(given["address"])
     return ViewOrders(hears, address_of(given["reached"]) if "reached" in given else hears,
-                      tuple(address_of(s) for s in filled["seed"] or ()), filled["period"] or 0.0, filled["fleet"])
+                      tuple(address_of(s) for s in filled["seed"] or ()), filled["period"] or 0.0, filled["fleet"],
+                      filled["heeded"], filled["speak"])
 
 
 def _orders(tree: Tree, file: Path) -> Orders:
@@ -100,12 +103,12 @@
     limits, door = _filled(top.get("limits", {}), LIMITS), _filled(top.get("door", {}), DOOR)
     report = servers["report"] or {"how": "answers", "columns": []}
     tenants, hears = top.get("tenant", []), top.get("neighbours", {})
-    roster = top["roster"]
+    roster, view = top["roster"], _view(top["view"]) if "view" in top else None
     charter = Charter(
         products=tuple(_product(at, p) for at, p in enumerate(top["product"])),
         me=top["umpire"]["number"], umpires=top["umpire"]["count"], zone=top["zones"].index(top["zone"]),
         crossing_price=limits["crossing-price"], probe_price=limits["probe-price"],
-        probing=limits["probing"], neighbours=bool(hears), may_withdraw=limits["withdraw"],
+        probing=limits["probing"], neighbours=bool(hears or (view and view.speaks)), may_withdraw=limits["withdraw"],
         second_copies=limits["second-copies"], most_relays=limits["relays"],
         longest_stay_away=limits["stay-away"], must_ask=roster["how"] == "asked",
         report_columns=tuple(COLUMNS[c] for c in report["columns"]),
@@ -119,7 +122,6 @@
         window=release["window"], vote_life=release["vote-life"], vote_wait=release["vote-wait"],
         votes_per_s=release["votes-per-second"], tenant_shares=tuple(t["share"] for t in tenants),
         tenant_quotas=tuple(t.get("quota", 0.0) for t in tenants))
-    view = _view(top["view"]) if "view" in top else None
     log = top.get("log", {})
     trail = _filled(top.get("trail", {}), next(w.block for w in WORDS if w.name == "trail"))
     kept = _filled(top.get("capture", {}), next(w.block for w in WORDS if w.name == "capture"))
--- a/stepsail/charter/shape.py
+++ b/stepsail/charter/shape.py
@@ -29,13 +29,16 @@
 @dataclass(frozen=True, slots=True)
 class ViewOrders:
     """How an umpire takes part in the fleet's view: where it listens, where others reach it, where some of them may
-    be found, the period of its probes in seconds (0: the usual one), and the fleet's name."""
+    be found, the period of its probes in seconds (0: the usual one), and the fleet's name. `heeds`: decisions go by
+    who is there; `speaks`: what umpires saw of builds goes to whom the view shows, where it shows them."""
 
     hears: Address
     reached: Address
     seeds: tuple[Address, ...]
     period: float
     fleet: str
+    heeds: bool = True
+    speaks: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/stepsail/charter/words.py
+++ b/stepsail/charter/words.py
@@ -274,7 +274,11 @@
              Word("period", "Time between an umpire's probes; all other times of the view follow from it.",
                   (arg("time", "time", minimum=0.05, maximum=60),)),
              Word("fleet", "Name of the fleet; words of others are passed over.", (arg("name", "text"),),
-                  absent="stepsail"))),
+                  absent="stepsail"),
+             Word("heeded", "Decisions go by who is there; 'no': by the number in 'umpire' all the same.",
+                  (arg("yes", "yes"),), absent=True),
+             Word("speak", "Umpires also tell each other here what they saw of builds, whoever is there; in place "
+                  "of 'neighbours'.", (arg("yes", "yes"),), absent=False))),
     Word("log", "Form (json, console) and least level of the log.", (
         arg("form", "text", enum=["json", "console"]),
         arg("level", "text", optional=True, enum=["debug", "info", "warning", "error"]))),
--- a/stepsail/interface.py
+++ b/stepsail/interface.py
@@ -195,6 +195,11 @@
 
     def neighbour_found(self, neighbour: int, build: int, stage: int, verdict: Verdict) -> None: ...
 
+    def fleet_told(self, present: Sequence[int]) -> None:
+        """By the fleet's view, where one is kept: the numbers of those who are there, in order, this one among them.
+        Never called: as the charter says."""
+        ...
+
 
 class Host(Protocol):
     """What an umpire may ask of its host."""
--- a/stepsail/membership/words.py
+++ b/stepsail/membership/words.py
@@ -13,6 +13,7 @@
 from stepsail.membership.terms import BUCKETS, MOST_BYTES
 
 VERSION = 1
+MARK = b"tell"  # begins what is not a word of the view; a word's checksum is the same once in 2^32
 HEAD = 70  # bytes of a word without news and load, at most
 ROW = 45  # bytes of a record without its zone and host, with all numbers at their longest
 MOST_NEWS = MOST_BYTES // 10
@@ -54,6 +55,20 @@
 DECODER = msgspec.msgpack.Decoder(Word)
 
 
+def wrap(fleet: int, number: int, start: int, text: bytes) -> bytes:
+    """What one umpire tells another beside the view's own words, under the name of its present life."""
+    body = number.to_bytes(4, "big") + start.to_bytes(8, "big") + text
+    return MARK + crc32(body, fleet).to_bytes(4, "big") + body
+
+
+def unwrap(fleet: int, data: bytes) -> tuple[int, int, bytes]:
+    """Number and start of who tells it, and what it is. Raises BadWord."""
+    body = data[8:]
+    if len(body) < 12 or crc32(body, fleet) != int.from_bytes(data[4:8], "big"):
+        raise BadWord("not of this fleet, or not whole")
+    return int.from_bytes(body[:4], "big"), int.from_bytes(body[4:12], "big"), body[12:]
+
+
 def row_size(record: Record) -> int:
     """Bytes that a record takes in a word, at most."""
     return ROW + len(record.zone.encode()) + len(record.host)
--- a/stepsail/standins/day.py
+++ b/stepsail/standins/day.py
@@ -80,6 +80,12 @@
     Word("view", "Umpires keep a view of the fleet, and the rig carries their words.", (arg("yes", "yes"),),
          absent=False),
     Word("view-period", "Time between an umpire's probes of the others.", (arg("time", "time", **TIME),)),
+    Word("heeded", "Umpires' decisions go by that view; 'no': by what the settings say.", (arg("yes", "yes"),),
+         absent=True),
+    Word("speak", "Umpires tell each other what they saw of builds, by that view.", (arg("yes", "yes"),),
+         absent=False),
+    Word("told", "How many umpires the settings name, in place of the true number; those beyond it were told of "
+         "themselves.", (arg("count", "whole", minimum=1, maximum=1000),)),
     Word("clock", "An umpire's clock runs so many times as fast, and from a time after each start on it is ahead or "
          "back by so much.", (
              arg("of", "whole"), arg("rate", "numbers", keyword="rate", optional=True, minimum=0.5, maximum=2),
@@ -142,6 +148,9 @@
     offers: list[tuple[float, Build]] = field(default_factory=list)
     troubles: list[Trouble] = field(default_factory=list)
     clocks: dict[int, Skew] = field(default_factory=dict)
+    heeded: bool = True
+    speak: bool = False
+    told: int = 0  # umpires that the settings name; 0: the true number
 
 
 def _drawn(random: Random, ends: list[Any] | None, absent: float) -> Any:
@@ -223,5 +232,6 @@
         top["news-late"], top["cross-delay"], top["notice"], Manners(retries=top["retries"]), top["uneven"],
         top["view"], top["view-period"] or 0.0, _offers(top["offer"] or [], random),
         _troubles(top["trouble"] or [], top["troubles"], random))
+    day.heeded, day.speak, day.told = top["heeded"], top["speak"], top["told"] or 0
     day.clocks = _clocks(top["clock"] or [], random)
     return day
--- a/stepsail/standins/rehearsal.py
+++ b/stepsail/standins/rehearsal.py
@@ -179,7 +179,8 @@
 
     def _write(self, file: Path, number: int, zone: str, listen: Address, conveyor: Address, roster: Address,
                hears: list[Address] | None = None, switch: Switch | None = None) -> None:
-        lines = [f"umpire {number} of {self.day.umpires}", f"zone {zone}", f"listen {listen[0]}:{listen[1]}",
+        count = max(number + 1, self.day.told or self.day.umpires)
+        lines = [f"umpire {number} of {count}", f"zone {zone}", f"listen {listen[0]}:{listen[1]}",
                  f"conveyor {conveyor[0]}:{conveyor[1]}", f"seed {self.day.seed * 1000 + number}",
                  f"roster {roster[0]}:{roster[1]} asked keep {file.stem}-roster.json",
                  f"include {json.dumps(str(self.day.site.resolve()))}"]
@@ -189,7 +190,9 @@
         if switch:
             lines += ["view {}:{} reached {}:{} {{".format(*switch.homes[number], *switch.addresses[number]),
                       *("    seed {}:{}".format(*switch.addresses[n]) for n in sorted(switch.homes)[:SEEDS]),
-                      *([f"    period {self.day.view_period * 1000:g}ms"] if self.day.view_period else []), "}"]
+                      *([f"    period {self.day.view_period * 1000:g}ms"] if self.day.view_period else []),
+                      *(["    heeded no"] if not self.day.heeded else []),
+                      *(["    speak yes"] if self.day.speak else []), "}"]
         file.write_text("\n".join(lines) + "\n", "utf-8")
 
     def _run(self) -> None:
--- a/stepsail/umpire/fellows.py
+++ b/stepsail/umpire/fellows.py
@@ -2,33 +2,42 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 from zlib import crc32
 
 from stepsail.charter import Orders
 from stepsail.loop import Datagrams, Loop
-from stepsail.membership import Members, Terms, View
+from stepsail.loop.driver import Address
+from stepsail.membership import BadWord, Counted, Members, Terms, View
 from stepsail.membership.terms import PERIOD
+from stepsail.membership.words import MARK, unwrap, wrap
 from stepsail.umpire.budget import Budget
-from stepsail.umpire.host import Log
+from stepsail.umpire.host import Host, Log
 
 BURST, A_SECOND = 400.0, 400.0  # datagrams heard at once, and a second; more are passed over, as if lost
+TELLS, TELLS_A_SECOND = 2000.0, 2000.0  # and of what others tell beside it: a judge hears each umpire once a second
 
 
 class Fellows:
     """Does nothing where the orders have no view. The view is evidence of a bounded age: no rule rests on it."""
 
-    def __init__(self, loop: Loop, orders: Orders, log: Log, seed: int) -> None:
-        self.loop, self.log, self.told = loop, log, 0
+    def __init__(self, loop: Loop, orders: Orders, host: Host, log: Log, seed: int) -> None:
+        self.loop, self.host, self.log, self.told = loop, host, log, 0
         self.members: Members | None = None
         self.wakes_at = float("inf")
         self.budget, self.passed_over = Budget(BURST, A_SECOND, loop.now()), 0
+        self.tells = Budget(TELLS, TELLS_A_SECOND, loop.now())
+        self.lives: dict[int, tuple[int, Address]] = {}  # start and address of each other one that is there
+        self.hand_on: Callable[[int, int, bytes], None] = lambda number, start, text: None
         if orders.view:
             view, charter = orders.view, orders.charter
+            self.counted = Counted(charter.umpires) if view.heeds else None
             self.socket = Datagrams(loop, view.hears)
             start = int(loop.driver.wall() * 1000)
+            self.fleet = crc32(view.fleet.encode())
             self.members = Members(charter.me, start, orders.zones[charter.zone], view.reached, view.seeds, seed,
-                                   loop.now(), Terms(view.period or PERIOD), crc32(view.fleet.encode()))
+                                   loop.now(), Terms(view.period or PERIOD), self.fleet)
 
     @property
     def view(self) -> View | None:
@@ -42,13 +51,35 @@
         self._beat()
         while True:
             data, _ = self.socket.receive()
+            told, now = data.startswith(MARK), self.loop.now()
             # Guards against floods: whoever sends them, this umpire's transactions come first.
-            if self.budget.takes(self.loop.now()):
-                self.members.heard(data, self.loop.now())
+            if (self.tells if told else self.budget).takes(now):
+                if told:
+                    self._told(data)
+                    continue
+                self.members.heard(data, now)
                 self._after()
             else:
                 self.passed_over += 1
 
+    def tell(self, number: int, text: bytes) -> None:
+        """To one that is there, where the view shows it; lost at will."""
+        life = self.lives.get(number)
+        if life and self.members and not self.members.displaced:
+            self.socket.send(wrap(self.fleet, self.members.me.number, self.members.me.start, text), life[1])
+
+    def _told(self, data: bytes) -> None:
+        """Guards against words of an earlier life, of another fleet, or of one that is not there."""
+        try:
+            number, start, text = unwrap(self.fleet, data)
+        except BadWord:
+            self.passed_over += 1
+            return
+        if number in self.lives and self.lives[number][0] == start:
+            self.hand_on(number, start, text)
+        else:
+            self.passed_over += 1
+
     def leave(self) -> None:
         """Tell the others that this umpire goes."""
         if self.members:
@@ -85,6 +116,11 @@
         view = self.members.view()
         if view.version != self.told:
             self.told = view.version
+            self.lives = {m.number: (m.start, m.address) for m in view.members if m.number != self.members.me.number}
+            present = self.counted.read(view) if self.counted else None
+            if present:
+                self.log.info("fleet_told", present=len(present))
+                self.host.tell(self.host.umpire.fleet_told, present)
             self.log.info("view", version=view.version, present=len(view.members), digest=view.digest,
                           settled=view.settled, minority=view.minority, displaced=view.displaced)
         if self.members.next_at < self.wakes_at:
--- a/stepsail/umpire/life.py
+++ b/stepsail/umpire/life.py
@@ -41,8 +41,8 @@
         self.door = Door(loop, orders, self.host, log, self.account, speech)
         self.conveyor = Conveyor(loop, orders, self.host, log, self.seed, self.account)
         self.roster = Roster(loop, orders, self.host, log, self.seed, self.account)
-        self.neighbours = Neighbours(loop, orders, self.host)
-        self.fellows = Fellows(loop, orders, log, self.seed)
+        self.fellows = Fellows(loop, orders, self.host, log, self.seed)
+        self.neighbours = Neighbours(loop, orders, self.host, self.fellows)
         speech.pages[b"fleet"] = self.fellows.page
         self.stopped = Event(loop)
         self.capture: CaptureWriter | None = None
--- a/stepsail/umpire/neighbours.py
+++ b/stepsail/umpire/neighbours.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from typing import Any
 
 import msgspec
@@ -11,6 +11,7 @@
 from stepsail.interface import ServerHandle, Verdict
 from stepsail.loop import Datagrams, Loop
 from stepsail.umpire.budget import Budget
+from stepsail.umpire.fellows import Fellows
 from stepsail.umpire.host import Host
 
 VERSION = 1
@@ -21,23 +22,32 @@
 
 
 class Neighbours:
-    """Speaks where the charter lets umpires speak; else does nothing."""
+    """Speaks where the charter lets umpires speak; else does nothing. To whom is told by the settings, one by one, or
+    by the fleet's view, over whose port the words then go."""
 
-    def __init__(self, loop: Loop, orders: Orders, host: Host) -> None:
+    def __init__(self, loop: Loop, orders: Orders, host: Host, fellows: Fellows) -> None:
         self.loop, self.orders, self.host = loop, orders, host
         self.socket = Datagrams(loop, orders.hears) if orders.hears else None
-        self.heard_at: dict[tuple[int, str], float] = {}
+        self.fellows = fellows if orders.view and orders.view.speaks else None
+        if self.fellows:
+            self.fellows.hand_on = self._take
+        self.heard_at: dict[tuple[int, str], tuple[int, float]] = {}  # start of the life that said it, and when
         self.budget: dict[int, Budget] = {}
         self.said = self.garbled = 0
 
+    def _known(self) -> Collection[int]:
+        return self.fellows.lives.keys() if self.fellows else self.orders.neighbours.keys()
+
     def _send(self, kind: str, to: Sequence[int], *rest: Any) -> None:
-        if self.socket is None:
+        if self.socket is None and self.fellows is None:
             return
         self.said += 1
         at = self.host.clock + self.said * 1e-6  # no two words alike
-        word = msgspec.msgpack.encode([VERSION, kind, self.orders.charter.me, at, *rest])
-        for number in to:
-            if number in self.orders.neighbours and number != self.orders.charter.me:
+        word, known = msgspec.msgpack.encode([VERSION, kind, self.orders.charter.me, at, *rest]), self._known()
+        for number in [n for n in to if n in known and n != self.orders.charter.me]:
+            if self.fellows:
+                self.fellows.tell(number, word)
+            elif self.socket:
                 self.socket.send(word, self.orders.neighbours[number])
 
     def tell_seen(self, neighbour: int, seen: Sequence[tuple[ServerHandle, int, int, int]]) -> None:
@@ -46,30 +56,35 @@
             self._send(SEEN, [neighbour], words)
 
     def tell_found(self, build: int, stage: int, verdict: Verdict) -> None:
-        self._send(FOUND, sorted(self.orders.neighbours), build, stage, int(verdict))
+        self._send(FOUND, sorted(self._known()), build, stage, int(verdict))
 
     def tell_stuck(self, products: Sequence[int]) -> None:
-        self._send(STUCK, sorted(self.orders.neighbours), list(products))
+        self._send(STUCK, sorted(self._known()), list(products))
 
     def listen(self) -> None:
         while self.socket is not None:
-            data, _ = self.socket.receive()
-            try:
-                self.heard(msgspec.msgpack.decode(data))
-            except Exception:  # whatever a stranger may send: malformed words end here
-                self.garbled += 1
+            self._take(None, 0, self.socket.receive()[0])
+
+    def _take(self, number: int | None, life: int, data: bytes) -> None:
+        """One word, of this umpire's present life if the view carried it."""
+        try:
+            self.heard(msgspec.msgpack.decode(data), number, life)
+        except Exception:  # whatever a stranger may send: malformed words end here
+            self.garbled += 1
 
-    def heard(self, word: Any) -> None:
+    def heard(self, word: Any, number: int | None, life: int) -> None:
         """Hand on one word; what is of another version, from nobody, late, twice or too much is dropped."""
         version, kind, who, at, *rest = word
-        if version != VERSION or who not in self.orders.neighbours or who == self.orders.charter.me:
+        if version != VERSION or who not in self._known() or who == self.orders.charter.me or (
+                number not in (None, who)):
             return
-        if not isinstance(at, float) or not at > self.heard_at.get((who, kind), float("-inf")):
+        # Guards against a restarted umpire that is heard no more: its clock may have begun anew, so lives come first.
+        if not isinstance(at, float) or not (life, at) > self.heard_at.get((who, kind), (0, float("-inf"))):
             return
         now = self.loop.now()
         if not self.budget.setdefault(who, Budget(BURST, A_SECOND, now)).takes(now):
             return
-        self.heard_at[who, kind] = at
+        self.heard_at[who, kind] = (life, at)
         if kind == FOUND:
             build, stage, verdict = (int(x) for x in rest)
             self.host.tell(self.host.umpire.neighbour_found, who, build, stage, Verdict(verdict))
--- a/tests/capture/test_format.py
+++ b/tests/capture/test_format.py
@@ -245,7 +245,8 @@
 
 
 steps = st.lists(st.tuples(
-    st.sampled_from(["take", "end", "wait", "left", "news", "list", "counts", "contest", "probe", "say", "pause"]),
+    st.sampled_from(["take", "end", "wait", "left", "news", "list", "counts", "contest", "probe", "say", "pause",
+                     "fleet"]),
     st.integers(0, 8), st.integers(0, 8)), min_size=5, max_size=60)
 
 
@@ -286,6 +287,8 @@
             desk.umpire.neighbour_saw(desk.servers[a % 4], 1 + b % 2, b % 3, a)
             desk.umpire.neighbour_found(1 + a % 2, 2, 0, Verdict(b % 4))
             desk.umpire.neighbour_stuck(a % 3, (b % 3, 9))
+        elif what == "fleet":
+            desk.umpire.fleet_told(tuple(range(0, 1 + a, 1 + b)))
     writer.close()
     files = sorted(folder.glob("*.cap"))
     torn = files[-1]
@@ -301,7 +304,7 @@
 
 def test_numbers_in_files_are_never_used_for_something_else() -> None:
     """The format's numbers; a change here makes old captures lie."""
-    assert [t.value for t in Told] == list(range(1, 18))
+    assert [t.value for t in Told] == list(range(1, 19))
     assert [a.value for a in Asked] == list(range(1, 15))
     assert struct.calcsize("<4sB3xIQdQ") == 36
     assert write_segment.__doc__ and Entry._fields == ("kind", "clock", "values", "asked", "raised")
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -14,7 +14,7 @@
 from stepsail.adapter import frames
 from stepsail.adapter.frames import Reply
 from stepsail.adapter.host import Instance
-from stepsail.balance import EDGES, FAILED, JUDGES, OVERDUE, Sample, Transaction, doubts, gap, radius
+from stepsail.balance import EDGES, FAILED, JUDGES, LEVEL, OVERDUE, Sample, Transaction, doubts, gap, radius
 from stepsail.interface import Control, Outcome, Phase, Receipt, Repeat, Verdict
 
 
@@ -507,6 +507,24 @@
     assert not quiet.umpire.flows[0].stuck  # over, unless it is told again
 
 
+def test_the_fleets_view_moves_judging_shares_and_levels_to_those_who_are_there() -> None:
+    # With the settings' number alone, three judges that ended left a fleet of hundreds without any vote on.
+    desk = Desk(builds=(1, 1, 1, 1, 1, 1), umpires=6, neighbours=True, me=4)
+    before, panel = desk.umpire.panel.judges, desk.umpire.panel
+    gone = before[0]
+    assert gone != 4
+    desk.umpire.fleet_told(tuple(n for n in range(6) if n != gone))
+    assert panel.judges[:2] == before[1:] and gone not in panel.judges  # the others stay
+    desk.umpire.fleet_told((1, 4))
+    assert panel.pools and panel.goes_on and panel.level == LEVEL / 2 and desk.umpire.place() == (1, 2)
+    desk.umpire.window = 0.0
+    desk.umpire.widen(False)
+    assert desk.umpire.window == 3.0  # one relay a server from all umpires: its half of six
+    desk.umpire.fleet_told(tuple(range(600)))
+    desk.umpire.widen(False)
+    assert desk.umpire.window < 3.0 and desk.umpire.vote_spread > 0 and desk.umpire.place() == (4, 600)
+
+
 def test_with_several_tenants_words_of_others_make_no_product_stuck() -> None:
     # A partner that waited everywhere had a whole product denied: what umpires say names no partner.
     judge = Desk(builds=(1, 1), umpires=1, neighbours=True, tenant_shares=(0.5, 0.5))
--- a/tests/umpire/test_neighbours.py
+++ b/tests/umpire/test_neighbours.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 from pathlib import Path
+from zlib import crc32
 
 import msgspec
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from rig import Rig, answers
 
+from stepsail.interface import Verdict
 from stepsail.loop import Datagrams
+from stepsail.membership import Record, Standing
+from stepsail.membership.words import MARK, VERSION, Kind, Word, encode, unwrap, wrap
 from stepsail.umpire.neighbours import FOUND, SEEN
 
 SPEAKS = """neighbours 127.0.0.77:{port} {{
@@ -71,3 +75,46 @@
         words.append(word(*one) if isinstance(one, tuple) else msgspec.msgpack.encode(one))
     collect()
     spoken(tmp_path, words)
+
+
+VIEW = """view 127.0.0.77:{port} {{
+    speak yes
+    period 100ms
+}}"""
+
+
+def test_words_by_the_view_come_from_a_present_life_alone(tmp_path: Path) -> None:
+    """Guards against words of a life that is over, or of one that nobody knows; a later life is heard from its start,
+    though its clock may have begun anew."""
+    found: list[tuple[int, ...]] = []
+
+    def test(rig: Rig) -> None:
+        fleet, umpire = crc32(b"stepsail"), rig.daemon.host.umpire
+        umpire.neighbour_found = lambda *a: found.append(tuple(map(int, a)))  # type: ignore[method-assign]
+        mouth, home = Datagrams(rig.loop, ("127.0.0.1", 0)), rig.daemon.fellows.socket.address
+
+        def lives(start: int) -> None:
+            me = Record(1, start, 0, Standing.ALIVE, "here", *mouth.address)
+            mouth.send(encode(fleet, Word(VERSION, Kind.PING, 1, 1, 0, None, [], [me])), home)
+            rig.loop.sleep(0.02)
+
+        def says(start: int, at: float, stage: int, number: int = 1, name: int = fleet) -> None:
+            mouth.send(wrap(name, number, start, word(1, FOUND, 1, at, 2, stage, 3)), home)
+            rig.loop.sleep(0.02)
+        says(1000, 1.0, 0)  # nobody there yet
+        lives(1000)
+        says(1000, 5.0, 1)
+        says(1000, 5.0, 2)  # twice
+        says(999, 6.0, 3)  # of an earlier life
+        says(1000, 6.0, 4, number=2)  # in another's name
+        says(1000, 6.0, 5, name=7)  # of another fleet
+        lives(2000)
+        says(1000, 7.0, 6)  # that life is over
+        says(2000, 0.5, 7)
+        assert rig.daemon.fellows.passed_over == 5
+        rig.daemon.neighbours.tell_found(2, 0, Verdict.ON)  # and what is said goes to where the view shows it
+        while not (data := mouth.receive(1.0)[0]).startswith(MARK):
+            pass
+        assert unwrap(fleet, data)[0] == 0 and msgspec.msgpack.decode(unwrap(fleet, data)[2])[1] == FOUND
+    Rig(tmp_path, test, [answers()], VIEW.format(port=0), umpires=3)
+    assert [f[2] for f in found] == [1, 7]
