--- a/stepsail/standins/day.py
+++ b/stepsail/standins/day.py
@@ -37,6 +37,13 @@
     "mute-umpires": "What a part of the umpires says reaches none of the others.",
     "deafen-umpires": "What the others say reaches none of a part of the umpires.",
     "flap-umpires": "A part of the umpires is cut off and back again, by turns of so long (size, s).",
+    "cut-ways": "A part of the umpires can neither reach boxes, release control and roster nor hear them; of 1, 2, "
+                "3: one of these.",
+    "mute-ways": "What a part of the umpires sends to them is lost, and connections are not made.",
+    "deafen-ways": "What they send to a part of the umpires is lost, and connections are not made.",
+    "lose-kept": "An umpire is killed, its kept files are lost, and it starts again.",
+    "tear-kept": "An umpire is killed, its kept files are cut short, and it starts again.",
+    "fill-kept": "An umpire's disk is full: nothing that it keeps can be written.",
     "lose-words": "A part of all words between umpires is lost.",
     "double-words": "A part of all words between umpires comes twice.",
     "late-words": "Words between umpires take up to so much longer (size, s), and overtake each other.",
@@ -45,6 +52,8 @@
     "curve": "Traffic rises to so many times the usual and falls again, as a day does."}
 WORD_TROUBLES = ("cut-umpires", "mute-umpires", "deafen-umpires", "flap-umpires", "lose-words", "double-words",
                  "late-words", "old-words")  # of the words between umpires
+WAY_TROUBLES = ("cut-ways", "mute-ways", "deafen-ways")  # of the ways from an umpire to all that is no umpire
+KEPT_TROUBLES = ("lose-kept", "tear-kept", "fill-kept")  # of what an umpire keeps on disk
 MOST_DRAWN = 64  # troubles of a day
 
 BOXES = (
@@ -208,7 +217,8 @@
     boxes = {w.name: w.absent for w in BOXES} | top["boxes"]
     demand = {d["product"]: (d["share"], d["work"]) for d in top["demand"]}
     for at, trouble in enumerate(top["trouble"] or []):
-        most = {"box": boxes["count"], "umpire": top["umpires"]}.get(trouble["kind"].split("-")[-1], 1 << 30)
+        most = {"box": boxes["count"], "umpire": top["umpires"], "kept": top["umpires"], "ways": 4}.get(
+            trouble["kind"].split("-")[-1], 1 << 30)
         if trouble.get("of", [0, 0])[1] >= most:
             tree.complain(tree.at("trouble", at, "of"), f"there are only {most}, numbered from 0")
     for at, clock in enumerate(top["clock"] or []):
--- a/stepsail/standins/rehearsal.py
+++ b/stepsail/standins/rehearsal.py
@@ -21,7 +21,7 @@
 from stepsail.loop.skew import Skew
 from stepsail.membership import Promises, Terms
 from stepsail.membership.terms import PERIOD
-from stepsail.standins.day import WORD_TROUBLES, Day, Trouble
+from stepsail.standins.day import KEPT_TROUBLES, WORD_TROUBLES, Day, Trouble
 from stepsail.standins.switch import Switch, Ways
 from stepsail.standins.transcript import Transcript
 from stepsail.standins.world import World
@@ -58,6 +58,7 @@
                  transcript: Transcript) -> None:
         self.loop, self.number, self.zone, self.listen = loop, number, zone, listen
         self.file, self.log = out / f"umpire-{number}.conf", out / f"umpire-{number}.log"
+        self.kept = out / f"umpire-{number}-roster.json"  # beside its settings, as they name it
         self.transcript, self.skew = transcript, Skew()
 
     def free_address(self) -> Address:
@@ -208,8 +209,9 @@
         try:
             for umpire in self.umpires:
                 self._write(umpire.file, umpire.number, umpire.zone, umpire.listen,
-                            world.service_for(umpire.number, world.conveyor.service.address),
-                            world.service_for(umpire.number, world.roster.service.address), switch=self.switch)
+                            world.service_for(umpire.number, "conveyor", world.conveyor.service.address),
+                            world.service_for(umpire.number, "roster", world.roster.service.address),
+                            switch=self.switch)
                 umpire.start()
             self._wait_ready()
             self._play(world)
@@ -262,10 +264,15 @@
         if trouble.kind in WORD_TROUBLES and self.switch:
             self._words(world, self.switch, trouble)
             return
+        if trouble.kind in KEPT_TROUBLES:
+            self._kept(world, self.umpires[trouble.of], trouble)
+            return
         if trouble.kind not in UMPIRE_TROUBLES:
             end = world.begin(trouble)
+            ways = self._cut_zone_words(world, trouble)
             self.loop.sleep(trouble.length)
             end()
+            ways()
             return
         if trouble.kind == "stop-umpire":
             self._stand_still(self.umpires[trouble.of], trouble.length)
@@ -324,6 +331,42 @@
             if self.loop.now() < until:
                 self.loop.sleep(min(turn, until - self.loop.now()))
 
+    def _cut_zone_words(self, world: World, trouble: Trouble) -> Callable[[], None]:
+        """A zone that is cut off: its umpires' words to the others and theirs to them, too."""
+        if trouble.kind != "cut-zone" or not self.switch:
+            return lambda: None
+        zone, switch = world.zones[trouble.of % len(world.zones)], self.switch
+        side = [u.number for u in self.umpires if u.zone == zone]
+        switch.cut(id(trouble), switch.between(side))
+        self.transcript.add("words", "cut", side=side, says=True, hears=True, zone=zone)
+
+        def heal() -> None:
+            switch.heal(id(trouble))
+            self.transcript.add("words", "healed", side=side, zone=zone)
+        return heal
+
+    def _kept(self, world: World, umpire: Actor, trouble: Trouble) -> None:
+        """What an umpire keeps is lost, cut short while it is down, or cannot be written for a time."""
+        if trouble.kind == "fill-kept":
+            place = umpire.kept.with_name(umpire.kept.name + ".new")  # where it writes, before it moves the file
+            place.unlink(missing_ok=True)
+            place.symlink_to("/dev/full")
+            self.transcript.add("disk", "full", umpire=umpire.number)
+            self.loop.sleep(trouble.length)
+            place.unlink(missing_ok=True)
+            self.transcript.add("disk", "has room", umpire=umpire.number)
+            return
+        if umpire.ended():
+            return
+        umpire.kill()
+        if trouble.kind == "lose-kept":
+            umpire.kept.unlink(missing_ok=True)
+        elif umpire.kept.exists():
+            umpire.kept.write_bytes(umpire.kept.read_bytes()[:-max(1, umpire.kept.stat().st_size // 3)])
+        self.transcript.add("disk", trouble.kind, umpire=umpire.number)
+        world.fronts[umpire.zone].dead_at[umpire.number] = self.loop.now()
+        self._again(world, umpire, trouble.length)
+
     def _said_words(self, ways: Ways) -> None:
         self.transcript.add("words", "ways", lose=ways.lose, twice=ways.twice, delay=ways.delay[1], again=ways.again)
 
--- a/stepsail/verify/fleet.py
+++ b/stepsail/verify/fleet.py
@@ -109,7 +109,7 @@
                 self._umpire(line, running, stopped)
             elif line["at"] == "words" and what in ("cut", "healed"):
                 self.events.append(t)
-                key = repr(line["side"])
+                key = repr((line["side"], line.get("zone")))
                 if what == "cut":
                     cut.setdefault(key, t)
                 elif key in cut:
--- a/stepsail/verify/history.py
+++ b/stepsail/verify/history.py
@@ -79,6 +79,7 @@
         self.absent: dict[int, list[Span]] = {}  # an umpire killed, until it runs again
         self.stopped: dict[int, list[Span]] = {}
         self.cuts: dict[str, list[Span]] = {}
+        self.apart: list[tuple[Line, Span]] = []  # umpires whose ways to boxes, release control or roster were cut
         self.slow: dict[str, list[Span]] = {}  # ways to a zone that take longer and lose something
         self.stalls: dict[str, list[Span]] = {}
         self.starts: dict[str, Line] = {}
@@ -129,6 +130,13 @@
             self.told.setdefault(line["umpire"], Told()).lists.append(line)
         elif end == "umpire":
             self._umpire(line, at, what)
+        elif end == "link" and what == "apart":
+            self.apart.append((line, Span(at)))
+        elif end == "link" and what == "joined":
+            names = ("umpires", "to", "says", "hears")
+            for other, span in self.apart:
+                if span.end == FOREVER and all(other[n] == line[n] for n in names):
+                    span.end = at
         elif end == "link":
             kept = self.slow if what in ("slow", "usual") else self.cuts
             spans = kept.setdefault(line["zone"], [])
@@ -189,6 +197,11 @@
         both = set(zones)
         return len(both) > 1 and any(s.meets(start, end) for z in both for s in self.cuts.get(z, []))
 
+    def was_apart(self, umpire: int, what: str, start: float, end: float, hears: bool = False) -> bool:
+        """Whether an umpire's own ways to boxes, release control or roster were cut then; `hears`: towards it."""
+        return any(umpire in line["umpires"] and what in line["to"] and (line["hears"] or not hears)
+                   and span.meets(start, end) for line, span in self.apart)
+
     def delay(self, zones: Iterable[str], at: float) -> float:
         """Seconds that what arrives then has been under way longer than usual."""
         both = set(zones)
--- a/stepsail/verify/rules.py
+++ b/stepsail/verify/rules.py
@@ -110,6 +110,7 @@
     """Whether the box of the first copy could not learn that its umpire had given it up."""
     zones = (history.zone_of(other.umpire), other.zone)
     return (history.was_cut(zones, other.at, relay.at + SLACK)
+            or history.was_apart(other.umpire, "boxes", other.at, relay.at + SLACK)
             or any(s.meets(other.at, relay.at + SLACK) for s in history.stalls.get(other.box, [])))
 
 
@@ -151,6 +152,7 @@
 def _not_heard(history: History, umpire: int, line: Line) -> bool:
     """What was said over a way that was cut then was lost."""
     return (history.was_cut((history.zone_of(umpire), history.home), line["t"] - SLACK, line["t"] + SLACK)
+            or history.was_apart(umpire, line["at"], line["t"] - SLACK, line["t"] + SLACK, hears=True)
             or history.was_absent(umpire, line["t"], line["t"] + SLACK))
 
 
@@ -246,7 +248,8 @@
 def _may_have_heard(history: History, umpire: int, line: Line) -> bool:
     """An umpire that was killed within the slack may have heard and acted before."""
     ways, at = (history.zone_of(umpire), history.home), line["t"]
-    return not history.was_absent(umpire, at, at) and not history.was_cut(ways, at, at)
+    return not (history.was_absent(umpire, at, at) or history.was_cut(ways, at, at)
+                or history.was_apart(umpire, line["at"], at, at, hears=True))
 
 
 def _recent(history: History, umpire: int, at: float) -> list[Line | None]:
--- a/tests/standins/test_links.py
+++ b/tests/standins/test_links.py
@@ -68,6 +68,21 @@
     Rig(tmp_path, test, [answers(), answers()])
 
 
+@pytest.mark.parametrize(("up", "ran"), [(True, 0), (False, 1)])
+def test_a_way_cut_in_one_direction_loses_the_question_or_the_answer(tmp_path: Path, up: bool, ran: int) -> None:
+    def test(rig: Rig) -> None:
+        links = linked(rig, Plan())
+        assert rig.ask("POST", "/pay", b"{}").status == 200  # a connection stands
+        before = rig.total()
+        for link in links:
+            link.cut(up=up, down=not up)
+        assert rig.ask("POST", "/pay", b"{}", left=0.4).status == 504  # may have run, for all that the umpire knows
+        assert rig.total() - before == ran
+        links[0].cut(up=not up)  # then the other direction as well: nothing more gets through
+        assert rig.ask("POST", "/pay", b"{}", left=0.4).status == 504 and rig.total() - before == ran
+    Rig(tmp_path, test, [answers()])
+
+
 def test_datagrams_are_lost_doubled_and_reordered(tmp_path: Path) -> None:
     def test(rig: Rig) -> None:
         near, far = Datagrams(rig.loop, ("127.0.0.1", 0)), Datagrams(rig.loop, ("127.0.0.1", 0))
--- a/tests/verify/test_checker.py
+++ b/tests/verify/test_checker.py
@@ -235,6 +235,18 @@
     assert ((3, "sent to a draining box") in slow(lines, confirmed)) is found
 
 
+@pytest.mark.parametrize(("umpires", "to", "hears", "found"), [
+    ([1], ["roster"], True, False),  # it cannot have heard of the drain
+    ([1], ["roster"], False, True), ([0], ["roster"], True, True), ([1], ["boxes", "conveyor"], True, True)])
+def test_what_is_said_over_an_umpires_own_way_that_was_cut_is_not_told(umpires: list[int], to: list[str], hears: bool,
+                                                                      found: bool) -> None:
+    way = {"at": "link", "umpires": umpires, "to": to, "says": not hears, "hears": hears}
+    told = {"t": 6.0, "at": "roster", "what": "told", "umpire": 1, "whole": False, "servers": {"b3": ["draining", 1]}}
+    lines = in_order([*clean(), *transaction("900-0", 8.0, box="b3", zone="b", umpire=1), told,
+                      {"t": 5.5, "what": "apart", **way}, {"t": 6.5, "what": "joined", **way}])
+    assert ((3, "sent to a draining box") in {(b.rule, b.clause) for b in verify(History(lines))}) is found
+
+
 def test_what_came_over_a_slow_way_was_sent_earlier_and_not_before_its_client_asked() -> None:
     """Told to drain at 6.0 and heard at once (no slow way to it); a relay to the far zone arrives 0.4 s late."""
     def played(sent: float) -> set[tuple[int, str]]:
