--- a/stepsail/standins/day.py
+++ b/stepsail/standins/day.py
@@ -72,7 +72,7 @@
     Word("site", "File of the umpires' common settings, beside this one.", (arg("file", "text"),), needed=True),
     Word("length", "Time during which clients arrive.", (arg("time", "time", **TIME),), needed=True),
     Word("seed", "Seed of the day's chance.", (arg("number", "whole"),), absent=1),
-    Word("umpires", "How many, spread over the zones.", (arg("count", "whole", minimum=1, maximum=1000),),
+    Word("umpires", "How many, spread over the zones.", (arg("count", "wholes", minimum=1, maximum=1000),),
          needed=True),
     Word("boxes", "The fleet.", (), BOXES, needed=True),
     Word("demand", "A product's share of the traffic and its mean work on one core.", (
@@ -217,13 +217,14 @@
     boxes = {w.name: w.absent for w in BOXES} | top["boxes"]
     demand = {d["product"]: (d["share"], d["work"]) for d in top["demand"]}
     for at, trouble in enumerate(top["trouble"] or []):
-        most = {"box": boxes["count"], "umpire": top["umpires"], "kept": top["umpires"], "ways": 4}.get(
+        fewest = top["umpires"][0]
+        most = {"box": boxes["count"], "umpire": fewest, "kept": fewest, "ways": 4}.get(
             trouble["kind"].split("-")[-1], 1 << 30)
         if trouble.get("of", [0, 0])[1] >= most:
             tree.complain(tree.at("trouble", at, "of"), f"there are only {most}, numbered from 0")
     for at, clock in enumerate(top["clock"] or []):
-        if clock["of"] >= top["umpires"]:
-            tree.complain(tree.at("clock", at), f"there are only {top['umpires']} umpires, numbered from 0")
+        if clock["of"] >= top["umpires"][0]:
+            tree.complain(tree.at("clock", at), f"there are only {top['umpires'][0]} umpires, numbered from 0")
     for at, offer in enumerate(top["offer"] or []):
         if (offer["kind"] == "product") != ("product" in offer) or offer.get("product", "") not in ("", *demand):
             tree.complain(tree.at("offer", at), "kind 'product' names a product that is asked for; others none")
@@ -236,7 +237,7 @@
     random = Random(f"{seed} draw")
     day = Day(
         file.parent.name if file.stem == "day" else file.stem, file.parent / top["site"], top["length"],
-        seed, top["umpires"], boxes["count"],
+        seed, _drawn(Random(f"{seed} umpires"), top["umpires"], 1), boxes["count"],
         Shape(boxes["cores"], boxes["queue"], fall_for=boxes["fall-for"], report_every=boxes["report-every"]),
         boxes["boot"], boxes["drain-for"], demand, _drawn(random, top["traffic"], 0.0), top["roster-late"],
         top["news-late"], top["cross-delay"], top["notice"], Manners(retries=top["retries"]), top["uneven"],
--- a/tests/emulate/test_view_days.py
+++ b/tests/emulate/test_view_days.py
@@ -8,7 +8,9 @@
 import pytest
 
 from stepsail.emulate.play import play
-from stepsail.membership import Members, Record
+from stepsail.membership import Record
+from stepsail.membership.own import Own
+from stepsail.membership.probes import Probes
 from stepsail.standins.day import Day, read_day
 from stepsail.verify import read_history, verify
 from stepsail.verify.fleet import Broken, read_fleet
@@ -31,7 +33,7 @@
     assert verify(read_history(tmp_path / str(seed) / "transcript.jsonl")) == []
 
 
-def never_answers_doubts(self: Members, claim: Record) -> None:
+def never_answers_doubts(self: Own, claim: Record) -> None:
     """An umpire that leaves it unsaid that it is there."""
 
 
@@ -40,13 +42,13 @@
     return 0, self.incarnation, self.standing
 
 
-def asks_no_more(self: Members) -> None:
+def asks_no_more(self: Probes) -> None:
     """Those held for gone are given up."""
 
 
 @pytest.mark.parametrize(("of", "name", "broken"), [
-    (Members, "_about_me", never_answers_doubts), (Record, "weight", property(takes_the_latest_word)),
-    (Members, "_ask_lost", asks_no_more)])
+    (Own, "claimed", never_answers_doubts), (Record, "weight", property(takes_the_latest_word)),
+    (Probes, "ask_lost", asks_no_more)])
 def test_a_broken_view_is_found_within_a_few_days(tmp_path: Path, monkeypatch: pytest.MonkeyPatch, of: type,
                                                   name: str, broken: Any) -> None:
     monkeypatch.setattr(of, name, broken)
