--- a/tests/membership/lab.py
+++ b/stepsail/standins/lab.py
@@ -1,4 +1,4 @@
-"""Many `Members` on one clock, and a network that loses, delays, doubles and cuts between them; no sockets."""
+"""Many umpires' views on one clock, and a network that loses, delays, doubles and cuts between them; no sockets."""
 
 from __future__ import annotations
 
@@ -32,7 +32,11 @@
 
 
 class Lab:
-    def __init__(self, size: int, seed: int = 1, terms: Terms | None = None, start: bool = True) -> None:
+    """`make`: another view of the fleet, made and driven as Members is, for comparisons."""
+
+    def __init__(self, size: int, seed: int = 1, terms: Terms | None = None, start: bool = True,
+                 make: Callable[..., Members] = Members) -> None:
+        self.make = make
         self.now, self.random, self.seed, self.terms = 100.0, Random(f"{seed} lab"), seed, terms or Terms()
         self.queue: list[tuple[float, int, Callable[[], object]]] = []
         self.order, self.starts = count(), count(1)
@@ -53,8 +57,8 @@
         at = address or self.address(number)
         life = start if start is not None else 1000 * next(self.starts)
         seeds = [self.address(n) for n in range(3)]
-        node = Node(number, at, Members(number, life, self.zone(number), at, seeds, self.seed * 7919 + number + life,
-                                        self.now, self.terms))
+        node = Node(number, at, self.make(number, life, self.zone(number), at, seeds,
+                                          self.seed * 7919 + number + life, self.now, self.terms))
         old = self.nodes.get(number)
         if address is None and old is not None:
             old.up = False
--- a/tests/membership/test_members.py
+++ b/tests/membership/test_members.py
@@ -8,13 +8,13 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from membership.lab import Lab
 
 from stepsail.membership import Promises, Standing, Terms
 from stepsail.membership.known import Known
 from stepsail.membership.records import Record
 from stepsail.membership.terms import BUCKETS, COMPARE
 from stepsail.membership.words import VERSION, BadWord, Kind, Word, decode, encode
+from stepsail.standins.lab import Lab
 
 TERMS = Terms()
 
--- a/tests/membership/test_model.py
+++ b/tests/membership/test_model.py
@@ -8,9 +8,9 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
-from membership.lab import Lab
 
 from stepsail.membership import Promises, Standing, Terms
+from stepsail.standins.lab import Lab
 
 SIZE = 6
 NUMBERS = st.integers(0, SIZE - 1)
