--- a/tests/membership/test_members.py
+++ b/tests/membership/test_members.py
@@ -165,7 +165,7 @@
 
 
 def test_a_third_of_words_lost_in_a_large_fleet_leaves_few_suspicions_to_be_told() -> None:
-    # With each failed probe told to all at once there were 25,576 suspicions here, and refutations that came too late.
+    # With each failed probe told to all at once there were 25,576 suspicions, and refutations came too late.
     lab = Lab(120)
     assert lab.until(lab.agreed, 30.0) < 30.0
     lab.run(30.0)
