--- a/stepsail/fleet/plan.py
+++ b/stepsail/fleet/plan.py
@@ -28,6 +28,8 @@
     Word("view", "Where umpire 0 speaks with the others about who is there; each further one has the next port. "
          "Absent: no view.", (
              arg("address", "address"), arg("period", "time", keyword="period", optional=True, **TIME))),
+    Word("speak", "Umpires tell each other over the view's ports what they saw of builds; in place of 'neighbours'.",
+         (arg("yes", "yes"),), absent=False),
     Word("neighbours", "Where umpire 0 hears what the others saw; each further one has the next port. Absent: "
          "umpires do not speak of it.", (arg("address", "address"),)),
     Word("folder", "Where settings, logs and kept lists of the umpires go, beside this file.", (
@@ -51,6 +53,7 @@
     roster_how: str
     view: Address | None
     view_period: float
+    speak: bool
     neighbours: Address | None
     folder: Path
     control: Address
@@ -77,7 +80,8 @@
         if self.view:
             lines += [f"view {put(self.view, number)} {{",
                       *(f"    seed {put(self.view, n)}" for n in range(min(SEEDS, self.umpires))),
-                      *([f"    period {self.view_period * 1000:g}ms"] if self.view_period else []), "}"]
+                      *([f"    period {self.view_period * 1000:g}ms"] if self.view_period else []),
+                      *(["    speak yes"] if self.speak else []), "}"]
         if self.neighbours:
             lines += [f"neighbours {put(self.neighbours, number)} {{",
                       *(f"    neighbour {n} {put(self.neighbours, n)}" for n in range(self.umpires)), "}"]
@@ -104,6 +108,8 @@
             if other == host and {word, name} == {"view", "neighbours"} and low <= last and first <= high:
                 tree.complain(tree.at(word), f"these ports meet those of '{name}'")
         spans.append((word, first, last, host))
+    if top["speak"] and (top["neighbours"] or not top["view"]):
+        tree.complain(tree.at("speak"), "umpires speak over the view's ports: it needs 'view', and no 'neighbours'")
     control = address_of(top["control"])
     listen = address_of(top["listen"])
     if control[0] == listen[0] and listen[1] <= control[1] < listen[1] + top["umpires"]:
@@ -120,5 +126,5 @@
     return Plan(top["umpires"], tuple(top["zones"]), common, listen, address_of(top["conveyor"]),
                 address_of(top["roster"]["address"]), top["roster"]["how"],
                 address_of(view["address"]) if view else None, (view or {}).get("period", 0.0),
-                address_of(top["neighbours"]) if top["neighbours"] else None,
+                top["speak"], address_of(top["neighbours"]) if top["neighbours"] else None,
                 file.parent / top["folder"], control, top["roll-part"])
--- a/tests/fleet/test_runner.py
+++ b/tests/fleet/test_runner.py
@@ -128,6 +128,7 @@
     ({"control": "10.0.0.1:80"}, "only an address of this machine's own"),
     ({"listen": "127.0.0.1:500", "control": "127.0.0.1:501"}, "one of the umpires' own"),
     ({"view": "127.0.0.1:500", "neighbours": "127.0.0.1:502"}, "meet those of 'view'"),
+    ({"view": "127.0.0.1:500", "neighbours": "127.0.0.1:602", "speak": "yes"}, "it needs 'view', and no"),
     ({"umpires": ""}, "umpires")])
 def test_what_is_wrong_with_a_file_is_told_with_its_place(tmp_path: Path, changed: dict[str, str], said: str) -> None:
     with pytest.raises(Faults) as faults:
