--- /dev/null
+++ b/tests/emulate/test_heeded_days.py
@@ -0,0 +1,43 @@
+"""What decisions take from the view, on days in virtual time: umpires that are gone judge nothing."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from stepsail.emulate.play import play
+from stepsail.standins.day import read_day
+from stepsail.verify import read_history, verify
+from stepsail.verify.report import summary
+
+SITE = Path(__file__).parents[2] / "days" / "bad-day" / "site.conf"
+DAY = """
+site {site}
+view yes
+speak yes
+length 36s
+umpires 7
+boxes {{
+    count 6
+    boot 300ms
+    drain-for 500ms
+}}
+demand lookup share 100% work 40ms
+traffic 40
+offer at 8s good speed 1
+{judges}
+"""
+JUDGES = (2, 6, 3)  # of seven, by the settings' number
+
+
+@pytest.mark.parametrize(("heeded", "end"), [(True, "released"), (False, "on trial")])
+def test_a_build_is_released_though_all_three_judges_have_ended(tmp_path: Path, heeded: bool, end: str) -> None:
+    file = tmp_path / "day.conf"
+    gone = "\n".join(f"trouble kill-umpire at 1s for 90s of {n}" for n in JUDGES)
+    file.write_text(DAY.format(site=SITE, judges=gone))
+    play(replace(read_day(file), heeded=heeded), tmp_path / "out")
+    history = read_history(tmp_path / "out/transcript.jsonl")
+    breaches = verify(history)
+    assert breaches == [] and [r["end"] for r in summary(history, breaches)["releases"]] == [end]
