A change of policy decided everywhere or nowhere: order, umpire's and keeper's side, without I/O

The promises stand in docs/design/policy-change.md; this is their deciding part.

Mode all; no lease yet, and nothing of the running umpire uses it.

Within 59 histories each: no fence, a hold begun anew by each word, a start that asks nobody, a decision without the last one's word, taking by what is only pending.

--- a/stepsail/standins/keepers.py
+++ b/stepsail/standins/keepers.py
@@ -43,7 +43,6 @@
         self.number, self.disk = number, disk
         self.raft: Raft | None = None
         self.told: dict[int, bytes] = {}
-        self.state = b""  # the state machine's: a digest of all that was told
         self.due = 0
 
 
@@ -67,7 +66,7 @@
         keeper = self.keepers[number]
         kept = msgspec.msgpack.decode(msgspec.msgpack.encode(keeper.disk.kept), type=Kept)
         keeper.raft = Raft(number, self.numbers, kept, self.seed * 1000 + next(self.lives), self.now)
-        keeper.told, keeper.state = {}, b""
+        keeper.told = {}
         self._after(keeper)
 
     def crash(self, number: int) -> None:
@@ -121,21 +120,37 @@
     def _tell(self, keeper: Keeper, raft: Raft) -> None:
         snapshot = raft.take_snapshot()
         if snapshot:
-            keeper.told, keeper.state = msgspec.msgpack.decode(snapshot, type=dict[int, bytes]), snapshot
+            self.restored(keeper, snapshot)
         for at, entry in raft.take_decided():
-            keeper.told[at] = entry.data
             if self.decided.setdefault(at, entry.data) != entry.data:
                 self.wrong.append(f"place {at} is {self.decided[at]!r} and {entry.data!r} at keeper {keeper.number}")
-            if entry.data.startswith(b"files "):
-                number, files = map(int, entry.data.split()[1:])
-                raft.admit_files(number, files, at)
-        raft.snapshot(msgspec.msgpack.encode(keeper.told))
+            self.applied(keeper, raft, at, entry.data)
+        raft.snapshot(self.frozen(keeper))
         for number, files in raft.files_to_admit():
-            raft.propose(b"files %d %d" % (number, files))
+            raft.propose(self.files_entry(number, files))
         for write in raft.take_writes():
             keeper.disk.pending.append(write)
             self._at(self.now + self.sync_takes, lambda: self._sync(keeper, raft))
 
+    # -- the state machine: here, all that was told ------------------------------------------------------
+
+    def restored(self, keeper: Keeper, snapshot: bytes) -> None:
+        keeper.told = msgspec.msgpack.decode(snapshot, type=dict[int, bytes])
+
+    def applied(self, keeper: Keeper, raft: Raft, at: int, data: bytes) -> None:
+        keeper.told[at] = data
+        if data.startswith(b"files "):
+            number, files = map(int, data.split()[1:])
+            raft.admit_files(number, files, at)
+
+    def frozen(self, keeper: Keeper) -> bytes:
+        return msgspec.msgpack.encode(keeper.told)
+
+    def files_entry(self, number: int, files: int) -> bytes:
+        return b"files %d %d" % (number, files)
+
+    # -- inside ------------------------------------------------------------------------------------------
+
     def _sync(self, keeper: Keeper, raft: Raft) -> None:
         if keeper.raft is raft and keeper.disk.pending:
             raft.wrote(keeper.disk.sync())
--- /dev/null
+++ b/tests/policy/test_policies.py
@@ -0,0 +1,135 @@
+"""A policy holds everywhere or nowhere, under drawn faults of umpires, keepers and the ways between them."""
+
+from __future__ import annotations
+
+from math import inf
+from random import Random
+from typing import Any
+
+import pytest
+
+from stepsail.policy import Holder, Order, Steward, Word
+from stepsail.policy.order import Admit, Change, Decide, GiveUp, Strike, put
+from stepsail.policy.terms import HOLD
+from stepsail.policy.words import Kind
+from stepsail.standins.policies import Policies
+
+
+def played(seed: int, steps: int = 50) -> Policies:
+    """A history drawn by this seed, and then time for all to come to one policy."""
+    random = Random(f"{seed} policies")
+    fleet = Policies(random.choice([3, 5]), random.randrange(2, 8), seed)
+    for umpire in fleet.umpires.values():
+        umpire.rate = random.uniform(0.95, 1.05)
+    fleet.run(6.0)
+    for step in range(steps):
+        what, keeper, number = random.randrange(15), random.choice(fleet.numbers), random.choice([*fleet.umpires])
+        umpire = fleet.umpires[number]
+        if what < 4:
+            fleet.offer(f"text {step}", random.choice([0.0, 2.0, 30.0]))
+        elif what == 4 and umpire.holder and not umpire.frozen:
+            fleet.kill_umpire(number)
+        elif what in (5, 6) and umpire.holder is None:
+            fleet.start_umpire(number)
+        elif what == 7 and umpire.holder:
+            umpire.frozen = True
+        elif what in (8, 9) and umpire.frozen:
+            fleet.thaw(number)
+        elif what == 10:
+            fleet.no_way = {("umpire", n) for n in fleet.umpires if random.random() < 0.4}
+        elif what == 11:
+            fleet.no_way, fleet.cut, fleet.loss, fleet.doubled, fleet.late = set(), set(), 0.0, 0.0, 0.0
+        elif what == 12:
+            ways = random.choice([(0.3, 0.3, 0.1), (0.0, 0.5, 3.0), (0.5, 0.0, 0.0)])
+            fleet.loss, fleet.doubled, fleet.late = ways
+        elif what == 13 and fleet.keepers[keeper].raft and sum(k.raft is None for k in fleet.keepers.values()) == 0:
+            fleet.crash(keeper)
+        elif what == 14:
+            for n, k in fleet.keepers.items():
+                if k.raft is None:
+                    fleet.start(n)
+            if random.random() < 0.3:
+                umpire.ahead += random.choice([-2.0, -1.0, 3.0])  # back by J at most, and seldom
+        fleet.run(random.choice([0.05, 0.3, 1.0, 3.0, 6.0]))
+    fleet.no_way, fleet.cut, fleet.loss, fleet.doubled, fleet.late = set(), set(), 0.0, 0.0, 0.0
+    for n, k in fleet.keepers.items():
+        if k.raft is None:
+            fleet.start(n)
+    for n, umpire in fleet.umpires.items():
+        if umpire.holder is None:
+            fleet.start_umpire(n)
+        elif umpire.frozen:
+            fleet.thaw(n)
+    fleet.run(45.0)
+    by = {u.holder.policy_at(fleet.clock(u)) if u.holder else None for u in fleet.umpires.values()}
+    if by != {max(fleet.held_at, default=0)}:
+        fleet.wrong.append(f"in the end umpires take by {by}, decided are {sorted(fleet.held_at)}")
+    return fleet
+
+
+@pytest.mark.parametrize("seed", range(1, 7))
+def test_a_policy_holds_everywhere_or_nowhere(seed: int) -> None:
+    assert played(seed).wrong == []
+
+
+def goes_on(self: Holder, now: float) -> int | None:
+    """No fence: takes by the old policy until it hears of another."""
+    return self.number if self.admitted and not self.left else None
+
+
+def holds_anew(self: Holder, word: Word, keeper: int, now: float) -> None:
+    """Each word of a pending change begins the hold again."""
+    self.pending, self.until = (word.number, word.text), now + HOLD
+    self._say(Kind.CONFIRM, word.number, to=keeper)
+
+
+def asks_nobody(self: Holder, now: float) -> None:
+    """A start that does not ask takes by whatever it had."""
+    self.admitted, self.next_at = True, inf
+
+
+def does_without(self: Steward) -> list[int]:
+    """Decides without the last one's word."""
+    return [n for n, (s, _, _) in sorted(self.order.members.items()) if (n, s) not in self.confirmed][:-1]
+
+
+def takes_at_once(self: Holder, word: Word, keeper: int, now: float) -> None:
+    """Takes by a change that is only pending."""
+    self._say(Kind.CONFIRM, word.number, to=keeper)
+    self._hold(word.number, word.text)
+
+
+@pytest.mark.parametrize(("of", "name", "broken"), [
+    (Holder, "policy_at", goes_on), (Holder, "_prepare", holds_anew), (Holder, "tick", asks_nobody),
+    (Steward, "silent", does_without), (Holder, "_prepare", takes_at_once)])
+def test_a_broken_one_is_found(monkeypatch: pytest.MonkeyPatch, of: type, name: str, broken: Any) -> None:
+    monkeypatch.setattr(of, name, broken)
+    assert any(played(seed).wrong for seed in range(1, 60))
+
+
+def test_entries_that_do_not_fit_change_nothing() -> None:
+    order = Order()
+    for step in (Decide(1), GiveUp(1, ""), Change(2, "x"), Admit(1, 5, "h", 1), Change(1, "one"), Change(2, "two"),
+                 Admit(2, 5, "h", 2), Admit(1, 9, "h", 1), Decide(2), Strike(1, 4)):
+        order.apply(put(step))
+    assert order.state.pending == Change(1, "one") and order.members == {1: (5, "h", 1)} and order.state.number == 0
+    for step in (GiveUp(1, "silent"), Decide(1), Change(1, "again"), Change(2, "two"), Decide(2), Strike(1, 5)):
+        order.apply(put(step))
+    assert (order.state.number, order.state.text, order.state.latest, order.members) == (2, "two", 2, {})
+    assert order.outcome(1) is False and order.outcome(2) is True and order.outcome(3) is None
+    copy = Order()
+    copy.restore(order.snapshot())
+    assert copy.state == order.state
+
+
+def test_a_change_that_one_umpire_cannot_use_is_given_up_with_its_word() -> None:
+    fleet = Policies(3, 4, 1)
+    fleet.run(6.0)
+    holder = fleet.umpires[2].holder
+    assert holder
+    holder.usable = lambda text: "line 3: 'target' is after 'abandon'"
+    assert fleet.offer("bad") == 1
+    fleet.run(1.0)
+    leader = fleet.leader()
+    assert leader is not None and not fleet.held_at
+    assert fleet.orders[leader].state.past[0].why == "umpire 2 cannot use it: line 3: 'target' is after 'abandon'"
