--- a/bench/fleet_days.py
+++ b/bench/fleet_days.py
@@ -26,8 +26,11 @@
     done = subprocess.run(command, capture_output=True, text=True)
     try:
         report = json.loads(done.stdout)
-        found = {"seed": seed, "promises": report["view_promises_broken"], "rules": report["breaches"],
-                 "judged": report["view_promises_judged"],
+        found = {"seed": seed, "promises": report["view_promises_broken"] + report["policy_promises_broken"],
+                 "rules": report["breaches"], "judged": report["view_promises_judged"] | {
+                     "tries by a policy": sum(report["policies"]["tries"].values()),
+                     "policies seen": len(report["policies"]["tries"]), "denied for want of one":
+                     report["policies"]["denied"]},
                  "left_badly": report["umpires_that_left_badly"], "service": report["service"]}
     except (ValueError, KeyError):
         found = {"seed": seed, "failed": done.stderr[-400:]}
--- a/stepsail/charter/orders.py
+++ b/stepsail/charter/orders.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from stepsail.charter.read import Faults, Reader, Tree
-from stepsail.charter.shape import LONGEST_ZONE, Orders, Route, ViewOrders, address_of
+from stepsail.charter.shape import LONGEST_ZONE, Orders, PolicyOrders, Route, ViewOrders, address_of
 from stepsail.charter.words import DOOR, LIMITS, RELEASE, SAID_IN_SHAPE_2, SERVERS, WORDS, Word
 from stepsail.interface import Charter, Control, Group, Product, Repeat
 
@@ -42,6 +42,8 @@
         tree.complain(tree.at("zone"), f"with a view a zone's name has at most {LONGEST_ZONE} characters")
     if "neighbours" in top and top.get("view", {}).get("speak"):
         tree.complain(tree.at("view", "speak"), "umpires speak by 'neighbours' already; take one of the two out")
+    if "policy" in top:
+        _check_policy(tree, top)
     if top["umpire"]["number"] >= top["umpire"]["count"]:
         tree.complain(tree.at("umpire", "number"),
                       f"umpires are numbered from 0 to {top['umpire']['count'] - 1}")
@@ -82,6 +84,17 @@
         spoken.setdefault(one["number"], at)
 
 
+def _check_policy(tree: Tree, top: dict[str, Any]) -> None:
+    given = top["policy"]
+    keepers = [k["number"] for k in given.get("keeper", [])]
+    if "view" not in top:
+        tree.complain(tree.at("policy"), "its words go over the view's ports; add 'view'")
+    if len(set(keepers)) not in (3, 5) or len(set(keepers)) < len(keepers):
+        tree.complain(tree.at("policy"), "three or five keepers, each named once")
+    if top["umpire"]["number"] in keepers and "keep" not in given:
+        tree.complain(tree.at("policy"), "this umpire is a keeper; add 'keep FOLDER'")
+
+
 def _product(index: int, given: dict[str, Any]) -> Product:
     repeats = given["repeats"]
     return Product(index, given["target"], given["abandon"], given.get("revenue", 1.0),
@@ -97,6 +110,11 @@
                       filled["heeded"], filled["speak"])
 
 
+def _policy(given: dict[str, Any], file: Path) -> PolicyOrders:
+    return PolicyOrders({k["number"]: address_of(k["address"]) for k in given["keeper"]},
+                        file.parent / given["keep"] if "keep" in given else None)
+
+
 def _orders(tree: Tree, file: Path) -> Orders:
     top = tree.values
     release, servers = _filled(top["release"], RELEASE), _filled(top.get("servers", {}), SERVERS)
@@ -143,4 +161,4 @@
         trail["commit-within"] if "folder" in trail else 0.0, trail["segment"], trail["reserve"],
         trail["age"], trail["size"],
         file.parent / kept["folder"] if "folder" in kept else None, kept["size"], kept["segment"], kept["age"],
-        view)
+        view, _policy(top["policy"], file) if "policy" in top else None)
--- a/stepsail/charter/shape.py
+++ b/stepsail/charter/shape.py
@@ -41,6 +41,14 @@
     speaks: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class PolicyOrders:
+    """Who keeps the order of changes, and where they are reached; where this one keeps it, if it is one of them."""
+
+    keepers: dict[int, Address]
+    folder: Path | None
+
+
 @dataclass(frozen=True, slots=True)
 class Orders:
     """All that an umpire is told by its file. Times in seconds, sizes in bytes."""
@@ -86,6 +94,7 @@
     capture_segment: int = 0
     capture_age: float = 0.0
     view: ViewOrders | None = None  # of the fleet; none unless it is ordered
+    policy: PolicyOrders | None = None  # changes of policy; none unless they are ordered
     most_links: int = 0  # connections to all servers together; 0: no bound but each server's own
     link_rest: float = 0.0  # s that a connection rests before it is used again
     link_life: float = 0.0  # s that one may be idle and still be used; 0: as long as the charter says
--- a/stepsail/charter/words.py
+++ b/stepsail/charter/words.py
@@ -279,6 +279,10 @@
                   (arg("yes", "yes"),), absent=True),
              Word("speak", "Umpires also tell each other here what they saw of builds, whoever is there; in place "
                   "of 'neighbours'.", (arg("yes", "yes"),), absent=False))),
+    Word("policy", "Changes of policy hold at all umpires or at none; their words go over the view's ports.", (), (
+        Word("keeper", "An umpire that keeps the order of changes, and where it is reached; three or five, the same "
+             "in all files.", (arg("number", "whole"), arg("address", "address")), many=True, needed=True),
+        Word("keep", "Folder in which a keeper keeps the order; needed by keepers.", (arg("folder", "text"),)))),
     Word("log", "Form (json, console) and least level of the log.", (
         arg("form", "text", enum=["json", "console"]),
         arg("level", "text", optional=True, enum=["debug", "info", "warning", "error"]))),
--- a/stepsail/cli/main.py
+++ b/stepsail/cli/main.py
@@ -39,6 +39,7 @@
 from stepsail.verify import read_history, verify
 from stepsail.verify.fleet import read_fleet
 from stepsail.verify.history import BadTranscript
+from stepsail.verify.policies import Policies
 from stepsail.verify.report import summary
 
 BAD, MISUSED, FAILED = 1, 2, 4
@@ -245,13 +246,16 @@
         fleet = read_fleet(folder)
         found["view_promises_broken"] = [str(b) for b in fleet.judge()]
         found["view_promises_judged"] = dict(fleet.judged)
+    policies = Policies(history)
+    found["policy_promises_broken"] = policies.judge()
+    found["policies"] = {"tries": dict(sorted(policies.judged.items())), "denied": policies.denied}
     if file.parent.is_dir() and folder.is_dir():
         (folder / "report.json").write_text(json.dumps(found, indent=1) + "\n")
     if as_json:
         click.echo(json.dumps(found, indent=1))
     else:
         _show(found, folder)
-    return BAD if breaches or codes or found.get("view_promises_broken") else 0
+    return BAD if breaches or codes or found.get("view_promises_broken") or found["policy_promises_broken"] else 0
 
 
 def _show(found: dict[str, Any], folder: Path) -> None:
@@ -276,7 +280,7 @@
         console.print(f"cold boxes: {len(found['cold'])}; most pushed {box}, {peak:.0%} of what fells it")
     for breach in found["breaches"]:
         console.print(breach, markup=False, style="red")
-    for broken in found.get("view_promises_broken", ()):
+    for broken in (*found.get("view_promises_broken", ()), *found["policy_promises_broken"]):
         console.print(broken, markup=False, style="red")
     if found["umpires_that_left_badly"]:
         console.print(f"{found['umpires_that_left_badly']} umpires did not leave well", style="red")
--- a/stepsail/http/once.py
+++ b/stepsail/http/once.py
@@ -9,12 +9,12 @@
 
 
 def ask_once(loop: Loop, to: Address, target: bytes, method: bytes = b"GET", connect_within: float = 0.5,
-             within: float = 0.5) -> Response:
+             within: float = 0.5, body: bytes = b"") -> Response:
     """The answer, in so many seconds from the connection on. Raises OSError where there is no whole one in time."""
     try:
         stream = Stream.connect(loop, to, connect_within)
         try:
-            data = encode_request(method, target, [(b"host", b"%s:%d" % (to[0].encode(), to[1]))])
+            data = encode_request(method, target, [(b"host", b"%s:%d" % (to[0].encode(), to[1]))], body)
             return Outlet(loop, stream, Bounds()).exchange(data, loop.now() + within, Progress())
         finally:
             stream.close()
--- a/stepsail/standins/box.py
+++ b/stepsail/standins/box.py
@@ -200,8 +200,9 @@
         if self.weather.heavy[0] and Random(f"{number} heavy").random() < self.weather.heavy[0]:
             work *= self.weather.heavy[1]
         told = {"box": self.name, "id": number, "umpire": umpire}
+        policy = request.header(b"stepsail-policy")
         self.transcript.add("box", "relay", **told, zone=self.zone, build=self.build.number, product=sort.name,
-                            work=round(work, 4))
+                            work=round(work, 4), **({"policy": int(policy)} if policy else {}))
         self._pushed(work)
         if not self.alive:
             return None
--- a/stepsail/standins/clients.py
+++ b/stepsail/standins/clients.py
@@ -150,11 +150,16 @@
         self.answers[verdict] = self.answers.get(verdict, 0) + 1
         self.transcript.add("client", "answer" if answer else "no answer", **told, verdict=verdict,
                             status=answer.status if answer else 0, product=wish.name, visit=visit.number,
-                            took=round(self.loop.now() - start, 6), **self._receipt(answer))
+                            took=round(self.loop.now() - start, 6), **self._receipt(answer), **self._policy(answer))
         if answer and verdict == "handled":
             self._judge(answer, umpire, address, wish)
         return verdict, wait
 
+    @staticmethod
+    def _policy(answer: Response | None) -> dict[str, int]:
+        told = answer.header(b"stepsail-policy") if answer else None
+        return {"policy": int(told)} if told else {}
+
     @staticmethod
     def _receipt(answer: Response | None) -> dict[str, str]:
         """What a client can show later: the umpire's receipt and what it was for."""
--- a/stepsail/standins/day.py
+++ b/stepsail/standins/day.py
@@ -95,6 +95,12 @@
          absent=False),
     Word("told", "How many umpires the settings name, in place of the true number; those beyond it were told of "
          "themselves.", (arg("count", "whole", minimum=1, maximum=1000),)),
+    Word("keepers", "So many umpires keep an order of changes of policy, by the view's ports.",
+         (arg("count", "whole", minimum=3, maximum=5),)),
+    Word("change", "A change of policy is proposed, and given up after so long.", (
+        arg("time", "times", keyword="at", **TIME),
+        arg("patience", "times", keyword="patience", optional=True, **TIME),
+        arg("chance", "share", keyword="chance", optional=True, **SHARE)), many=True),
     Word("clock", "An umpire's clock runs so many times as fast, and from a time after each start on it is ahead or "
          "back by so much.", (
              arg("of", "whole"), arg("rate", "numbers", keyword="rate", optional=True, minimum=0.5, maximum=2),
@@ -159,6 +165,8 @@
     clocks: dict[int, Skew] = field(default_factory=dict)
     heeded: bool = True
     speak: bool = False
+    keepers: int = 0
+    changes: list[tuple[float, float]] = field(default_factory=list)  # when, and how long they are waited for
     told: int = 0  # umpires that the settings name; 0: the true number
 
 
@@ -231,6 +239,8 @@
     for at, trouble in enumerate(top["trouble"] or []):
         if trouble["kind"] in WORD_TROUBLES and not top["view"]:
             tree.complain(tree.at("trouble", at), "without 'view yes' umpires say nothing to each other")
+    if top["keepers"] and (not top["view"] or top["keepers"] > top["umpires"][0] or top["keepers"] == 4):
+        tree.complain(tree.at("keepers"), "three or five of the umpires, who have 'view yes'")
     if tree.faults:
         raise Faults(tree.faults)
     seed = top["seed"] if seed is None else seed
@@ -243,6 +253,10 @@
         top["news-late"], top["cross-delay"], top["notice"], Manners(retries=top["retries"]), top["uneven"],
         top["view"], top["view-period"] or 0.0, _offers(top["offer"] or [], random),
         _troubles(top["trouble"] or [], top["troubles"], random))
+    day.keepers, chances = top["keepers"] or 0, Random(f"{seed} changes")
+    drawn = [(_drawn(chances, c["time"], 0.0), _drawn(chances, c.get("patience"), 0.0),
+              chances.random() < c.get("chance", 1.0)) for c in top["change"] or []]
+    day.changes = sorted((at, patience) for at, patience, befalls in drawn if befalls)
     day.heeded, day.speak, day.told = top["heeded"], top["speak"], top["told"] or 0
     day.clocks = _clocks(top["clock"] or [], random)
     return day
--- a/stepsail/standins/rehearsal.py
+++ b/stepsail/standins/rehearsal.py
@@ -9,10 +9,12 @@
 import subprocess
 import sys
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import asdict
 from functools import partial
 from itertools import count
 from pathlib import Path
+from typing import Any
 
 from stepsail.charter import Orders, read_orders
 from stepsail.http.once import ask_once
@@ -21,6 +23,7 @@
 from stepsail.loop.skew import Skew
 from stepsail.membership import Promises, Terms
 from stepsail.membership.terms import PERIOD
+from stepsail.policy.terms import bound
 from stepsail.standins.day import KEPT_TROUBLES, WORD_TROUBLES, Day, Trouble
 from stepsail.standins.switch import Switch, Ways
 from stepsail.standins.transcript import Transcript
@@ -29,6 +32,7 @@
 READY_WITHIN, READY_EACH = 20.0, 0.3  # s until all umpires must be ready; more for each, as they start on few cores
 SETTLE = 6.0  # s after the last arrival in which everything must be answered
 STOP_WITHIN = 20.0  # s that an umpire may take to leave
+PROPOSE_FOR = 8.0  # s in which a change is proposed anew where no keeper leads, or another change is pending
 PAUSES = (2.0, 4.0)  # s between an umpire's pauses
 LOOK = 0.05  # s between looks at processes
 UMPIRE_TROUBLES = ("kill-umpire", "stop-umpire", "restart-umpires", "pause-umpires", "leave-umpires", "kill-umpires",
@@ -194,6 +198,10 @@
                       *([f"    period {self.day.view_period * 1000:g}ms"] if self.day.view_period else []),
                       *(["    heeded no"] if not self.day.heeded else []),
                       *(["    speak yes"] if self.day.speak else []), "}"]
+        if switch and self.day.keepers:
+            keepers = [(n, *switch.addresses[n]) for n in range(self.day.keepers)]
+            lines += ["policy {", *("    keeper {} {}:{}".format(*k) for k in keepers),
+                      f"    keep {file.stem}-order", "}"]
         file.write_text("\n".join(lines) + "\n", "utf-8")
 
     def _run(self) -> None:
@@ -247,6 +255,10 @@
         for trouble in self.day.troubles:
             # Essential: a trouble that fails would leave a day without it, and the day would seem well borne.
             loop.spawn(self._trouble, world, trouble, name=f"trouble {trouble.kind}", essential=True)
+        if self.day.keepers:
+            self.transcript.add("day", "policy", keepers=self.day.keepers, bound=bound())
+        for at, patience in self.day.changes:
+            loop.spawn(self._change, at, patience, name="change of policy", essential=True)
         arrivals = loop.spawn(crowd.arrive, start + self.day.length, name="arrivals", essential=True)
         while not arrivals.done:
             loop.sleep(0.25)
@@ -255,8 +267,41 @@
         until = loop.now() + SETTLE
         while crowd.open and loop.now() < until:
             loop.sleep(LOOK)
+        self._past()
         self.transcript.add("day", "ends", visits=crowd.visits, answers=crowd.answers, still_open=crowd.open)
 
+    def _asked_keepers(self, method: bytes, body: bytes = b"") -> list[tuple[int, dict[str, Any]]]:
+        """What the keepers that answer say: status and text."""
+        found = []
+        for keeper in self.umpires[:self.day.keepers]:
+            with suppress(OSError, ValueError):
+                said = ask_once(self.loop, keeper.listen, b"/.stepsail/policy", method, 0.2, body=body)
+                found.append((said.status, json.loads(said.body)))
+        return found
+
+    def _change(self, at: float, patience: float) -> None:
+        """Propose at whoever leads, again and again for a while."""
+        self.loop.sleep(at)
+        until, body = self.loop.now() + PROPOSE_FOR, json.dumps({"text": f"change of {at:.3f}", "patience": patience})
+        while self.loop.now() < until and not self.over:
+            for status, said in self._asked_keepers(b"POST", body.encode()):
+                if status == 202:
+                    self.transcript.add("policy", "proposed", number=said["number"], patience=patience)
+                    return
+            self.loop.sleep(0.5)
+        self.transcript.add("policy", "not proposed")
+
+    def _past(self) -> None:
+        """What became of the changes, as the keepers say once all is over."""
+        if not self.day.keepers:
+            return
+        past: dict[int, bool] = {}
+        for status, said in self._asked_keepers(b"GET"):
+            for one in said.get("policy", {}).get("keeper", {}).get("past", []) if status == 200 else ():
+                past[one["number"]] = one["held"]
+        self.transcript.add("policy", "past", held=sorted(n for n, held in past.items() if held),
+                            given_up=sorted(n for n, held in past.items() if not held))
+
     def _trouble(self, world: World, trouble: Trouble) -> None:
         self.loop.sleep(trouble.at)
         self.transcript.add("day", "trouble", kind=trouble.kind, of=trouble.of, length=trouble.length,
--- a/stepsail/umpire/door.py
+++ b/stepsail/umpire/door.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Protocol
+
 from stepsail.charter import Orders
 from stepsail.http import BadMessage, Bounds, Inlet, Request, Response, encode_response
 from stepsail.http.message import chunk, encode_response_start
@@ -10,12 +12,21 @@
 from stepsail.umpire.ledger import Ledger
 from stepsail.umpire.speech import Asked, Speech
 
+POLICY = b"stepsail-policy"  # header: the number of the policy by which a transaction was taken
 NEW = 0.05  # s that a new client has to say something before it may have to make room for another
 LATE = 0.05  # s to write an answer whose client may be gone
 UNDER_WAY = 0.25  # of the answer's slack, for its way to the client: what leaves later may come when its time is over
 DRAIN, MOST_DRAIN = 0.5, 4 << 20  # s, and bytes, that are read on and thrown away behind a bad request
 
 
+class Governs(Protocol):
+    """By which policy transactions are taken, where there are policies."""
+
+    def number(self) -> int | None: ...
+
+    def stay_away(self) -> float: ...
+
+
 class Door:
     """Bounds: `door_connections` clients, `most_open` transactions; beyond those a transaction is denied at
     once, before the module hears of it, and nothing has run."""
@@ -23,6 +34,7 @@
     def __init__(self, loop: Loop, orders: Orders, host: Host, log: Log, ledger: Ledger, speech: Speech) -> None:
         self.loop, self.orders, self.host, self.log = loop, orders, host, log
         self.ledger, self.speech = ledger, speech
+        self.governed: Governs | None = None
         self.bounds = Bounds(orders.most_head, orders.most_body, orders.hold, orders.door_idle,
                              orders.slow_sender, orders.first_within)
         self.listener: Listener | None = None
@@ -125,8 +137,9 @@
         self.speech.took(held)
         try:
             full = len(self.host.held) >= self.orders.most_open or not self.ledger.takes_new()
-            if full or held.until <= now:
-                held.stay_away = charter.longest_stay_away
+            barred = not self._govern(held, request)
+            if full or barred or held.until <= now:
+                held.stay_away = self.governed.stay_away() if self.governed and barred else charter.longest_stay_away
                 held.close("denied")
             else:
                 self.ledger.taken += 1
@@ -137,6 +150,16 @@
         finally:
             self.speech.parted(held)
 
+    def _govern(self, held: Held, request: Request) -> bool:
+        """Whether there is a policy to take it by; its number goes with it to every far end."""
+        if self.governed is None:
+            return True
+        held.policy = self.governed.number()
+        if held.policy is not None:
+            others = [h for h in request.headers if h[0] != POLICY]
+            request.headers = [*others, (POLICY, b"%d" % held.policy)]
+        return held.policy is not None
+
     def _await(self, inlet: Inlet, held: Held) -> bool:
         """Wait for the final answer; False when the client is gone."""
         # Time is left to keep and to write it.
@@ -179,6 +202,8 @@
         if answer is None:
             answer = (self.speech.denied(held) if held.verdict == "denied"
                       else self.speech.errored(held, now >= held.until - 0.1))
+        if held.policy is not None:
+            answer.headers = [*(h for h in answer.headers if h[0] != POLICY), (POLICY, b"%d" % held.policy)]
         if not self.ledger.answering(held, product, answer, held.client_until):
             stream.abort()  # no client may hold an answer that the trail lacks
             self.log.warning("answer_not_kept", transaction=held.number)
--- a/stepsail/umpire/fellows.py
+++ b/stepsail/umpire/fellows.py
@@ -16,6 +16,7 @@
 from stepsail.umpire.host import Host, Log
 
 BURST, A_SECOND = 400.0, 400.0  # datagrams heard at once, and a second; more are passed over, as if lost
+POLICY = b"rule"  # begins a word on policies
 TELLS, TELLS_A_SECOND = 2000.0, 2000.0  # and of what others tell beside it: a judge hears each umpire once a second
 
 
@@ -30,6 +31,7 @@
         self.tells = Budget(TELLS, TELLS_A_SECOND, loop.now())
         self.lives: dict[int, tuple[int, Address]] = {}  # start and address of each other one that is there
         self.hand_on: Callable[[int, int, bytes], None] = lambda number, start, text: None
+        self.on_policy: Callable[[bytes], None] = lambda text: None
         if orders.view:
             view, charter = orders.view, orders.charter
             self.counted = Counted(charter.umpires) if view.heeds else None
@@ -51,11 +53,11 @@
         self._beat()
         while True:
             data, _ = self.socket.receive()
-            told, now = data.startswith(MARK), self.loop.now()
+            told, now = data.startswith((MARK, POLICY)), self.loop.now()
             # Guards against floods: whoever sends them, this umpire's transactions come first.
             if (self.tells if told else self.budget).takes(now):
                 if told:
-                    self._told(data)
+                    (self._policy_told if data.startswith(POLICY) else self._told)(data)
                     continue
                 self.members.heard(data, now)
                 self._after()
@@ -68,6 +70,16 @@
         if life and self.members and not self.members.displaced:
             self.socket.send(wrap(self.fleet, self.members.me.number, self.members.me.start, text), life[1])
 
+    def send_policy(self, to: Address, text: bytes) -> None:
+        """To whoever is there, shown by the view or not; lost at will."""
+        self.socket.send(POLICY + crc32(text, self.fleet).to_bytes(4, "big") + text, to)
+
+    def _policy_told(self, data: bytes) -> None:
+        if crc32(data[8:], self.fleet) == int.from_bytes(data[4:8], "big") and len(data) > 13:
+            self.on_policy(data[8:])
+        else:
+            self.passed_over += 1
+
     def _told(self, data: bytes) -> None:
         """Guards against words of an earlier life, of another fleet, or of one that is not there."""
         try:
--- a/stepsail/umpire/host.py
+++ b/stepsail/umpire/host.py
@@ -34,8 +34,8 @@
 class Held:
     """A transaction that this umpire has taken and not answered: the door's side of the module's handle."""
 
-    __slots__ = ("answer", "client_until", "closed", "handle", "number", "relays", "out", "request", "stay_away",
-                 "until", "story", "streams", "verdict", "waiter")
+    __slots__ = ("answer", "client_until", "closed", "handle", "number", "policy", "relays", "out", "request",
+                 "stay_away", "until", "story", "streams", "verdict", "waiter")
 
     def __init__(self, number: int, request: Request, until: float, client_until: float) -> None:
         self.number, self.request, self.until, self.client_until = number, request, until, client_until
@@ -48,6 +48,7 @@
         self.out = 0  # relays that have not ended
         self.streams = -1  # the relay whose answer is being passed on as it comes
         self.waiter: Waiter | None = None
+        self.policy: int | None = None  # the number of the one by which it was taken, where there are policies
 
     def close(self, verdict: str, answer: Response | None = None) -> bool:
         """The one final answer: the first call decides, later ones change nothing."""
--- a/stepsail/umpire/life.py
+++ b/stepsail/umpire/life.py
@@ -17,6 +17,7 @@
 from stepsail.umpire.conveyor import Conveyor
 from stepsail.umpire.door import Door
 from stepsail.umpire.fellows import Fellows
+from stepsail.umpire.governed import Governed
 from stepsail.umpire.host import Held, Host, Log
 from stepsail.umpire.neighbours import Neighbours
 from stepsail.umpire.nodes import Nodes
@@ -43,7 +44,10 @@
         self.roster = Roster(loop, orders, self.host, log, self.seed, self.account)
         self.fellows = Fellows(loop, orders, self.host, log, self.seed)
         self.neighbours = Neighbours(loop, orders, self.host, self.fellows)
-        speech.pages[b"fleet"] = self.fellows.page
+        self.governed = Governed(loop, orders, self.fellows, log, self.seed)
+        if self.governed.holder:
+            self.door.governed, speech.offer = self.governed, self.governed.offer
+        speech.pages |= {b"fleet": self.fellows.page, b"policy": self.governed.page}
         self.stopped = Event(loop)
         self.capture: CaptureWriter | None = None
         if orders.capture:
@@ -100,6 +104,7 @@
             tasks.append(self.loop.spawn(self.neighbours.listen, name="neighbours", essential=True))
         if self.orders.view:
             tasks.append(self.loop.spawn(self.fellows.listen, name="fellows", essential=True))
+        self.governed.begin()
         opening = self.loop.spawn(self._open, name="opening", essential=True)
         self.stopped.wait(why="a signal to stop")
         opening.cancel()
@@ -111,6 +116,8 @@
         until = self.loop.now() + FIRST_NEWS
         while not self.conveyor.heard and self.loop.now() < until:
             self.loop.sleep(LOOK)
+        while not self.governed.ready:  # by which policy it may take is not known yet
+            self.loop.sleep(LOOK)
         self.door.open()
         self.door.ready = True
         self.log.info("ready", listen="{}:{}".format(*self.orders.listen), servers=len(self.roster.lines))
@@ -120,6 +127,7 @@
         self.door.leave()
         self.fellows.leave()
         in_time = self.answer_held()
+        self.governed.leave()
         for task in tasks:
             task.cancel()
         if self.orders.roster_kept and self.roster.lines:
--- a/stepsail/umpire/speech.py
+++ b/stepsail/umpire/speech.py
@@ -68,6 +68,7 @@
     def __init__(self, orders: Orders, host: Host) -> None:
         self.orders, self.host = orders, host
         self.pages: dict[bytes, Callable[[], Any]] = {}  # what else may be asked of this umpire, as JSON
+        self.offer: Callable[[dict[str, Any]], tuple[int, dict[str, Any]]] | None = None  # of a change of policy
         self.tenants = {name.encode(): at for at, name in enumerate(orders.tenants)}
         self.tenant_header = orders.tenant_header.lower().encode()
         self.subject_header = orders.subject_header.lower().encode()
@@ -118,6 +119,13 @@
             return Response(200, [], b"ready\n") if ready else self.bad(503, "not ready")
         if (page := self.pages.get(request.target[len(OWN):])) and request.method == b"GET":
             return Response(200, [JSON], msgspec.json.encode(page()) + b"\n")
+        if request.target == OWN + b"policy" and request.method == b"POST" and self.offer:
+            try:
+                said = msgspec.json.decode(request.body, type=dict[str, Any])
+            except msgspec.MsgspecError as trouble:
+                return self.bad(400, str(trouble))
+            status, told = self.offer(said)
+            return Response(status, [JSON], msgspec.json.encode(told) + b"\n")
         if request.target == OWN + b"contested" and request.method == b"POST":
             return self._contested(request)
         return self.bad(404, "nothing here")
