--- a/stepsail/policy/steward.py
+++ b/stepsail/policy/steward.py
@@ -45,6 +45,8 @@
     def applied(self, now: float) -> None:
         """The order has grown."""
         pending = self.order.state.pending
+        if self.leads and self.change and (pending is None or pending.number != self.change):
+            self._tell_all(self.change)
         if not self.leads or pending is None:
             self.change, self.tell_at, self.give_up_at, self.ending = 0, inf, inf, False
         elif self.change != pending.number:
@@ -114,6 +116,15 @@
         elif self.order.outcome(word.number) is False:
             self._say(back, Kind.GIVEN_UP, word.umpire, start, word.number, state.text, state.number)
 
+    def _tell_all(self, number: int) -> None:
+        """The outcome, to all at once; who does not hear it asks."""
+        state, held = self.order.state, self.order.outcome(number)
+        for umpire, (start, host, port) in sorted(self.order.members.items()):
+            if held:
+                self._say((host, port), Kind.HELD, umpire, start, state.number, state.text)
+            elif held is False:
+                self._say((host, port), Kind.GIVEN_UP, umpire, start, number, state.text, state.number)
+
     def _end(self) -> None:
         pending = self.order.state.pending
         if self.leads and pending and self.change == pending.number and not self.ending and not self.silent():
--- a/stepsail/standins/day.py
+++ b/stepsail/standins/day.py
@@ -97,9 +97,13 @@
          "themselves.", (arg("count", "whole", minimum=1, maximum=1000),)),
     Word("keepers", "So many umpires keep an order of changes of policy, by the view's ports.",
          (arg("count", "whole", minimum=3, maximum=5),)),
-    Word("change", "A change of policy is proposed, and given up after so long.", (
+    Word("change", "A change of policy is proposed, and given up after so long; so soon after it was accepted a part "
+         "of the umpires is cut off from the others for a time.", (
         arg("time", "times", keyword="at", **TIME),
         arg("patience", "times", keyword="patience", optional=True, **TIME),
+        arg("cut", "shares", keyword="cut", optional=True, **SHARE),
+        arg("soon", "times", keyword="after", optional=True, **TIME),
+        arg("length", "times", keyword="for", optional=True, **TIME),
         arg("chance", "share", keyword="chance", optional=True, **SHARE)), many=True),
     Word("clock", "An umpire's clock runs so many times as fast, and from a time after each start on it is ahead or "
          "back by so much.", (
@@ -137,6 +141,18 @@
     part: float = 0.5
 
 
+@dataclass
+class Proposal:
+    """A change of policy: when it is proposed, and how long it is waited for (s); the part of the umpires that is cut
+    off then, how long after the proposal was accepted, and for how long."""
+
+    at: float
+    patience: float
+    cut: float
+    soon: float
+    length: float
+
+
 @dataclass
 class Day:
     """One day. Times in seconds."""
@@ -166,7 +182,7 @@
     heeded: bool = True
     speak: bool = False
     keepers: int = 0
-    changes: list[tuple[float, float]] = field(default_factory=list)  # when, and how long they are waited for
+    changes: list[Proposal] = field(default_factory=list)
     told: int = 0  # umpires that the settings name; 0: the true number
 
 
@@ -254,9 +270,11 @@
         top["view"], top["view-period"] or 0.0, _offers(top["offer"] or [], random),
         _troubles(top["trouble"] or [], top["troubles"], random))
     day.keepers, chances = top["keepers"] or 0, Random(f"{seed} changes")
-    drawn = [(_drawn(chances, c["time"], 0.0), _drawn(chances, c.get("patience"), 0.0),
-              chances.random() < c.get("chance", 1.0)) for c in top["change"] or []]
-    day.changes = sorted((at, patience) for at, patience, befalls in drawn if befalls)
+    for c in top["change"] or []:
+        change = Proposal(_drawn(chances, c["time"], 0.0), _drawn(chances, c.get("patience"), 0.0),
+                          _drawn(chances, c.get("cut"), 0.0), _drawn(chances, c.get("soon"), 0.0),
+                          _drawn(chances, c.get("length"), 0.0))
+        day.changes += [change] if chances.random() < c.get("chance", 1.0) else []
     day.heeded, day.speak, day.told = top["heeded"], top["speak"], top["told"] or 0
     day.clocks = _clocks(top["clock"] or [], random)
     return day
--- a/stepsail/standins/rehearsal.py
+++ b/stepsail/standins/rehearsal.py
@@ -24,7 +24,7 @@
 from stepsail.membership import Promises, Terms
 from stepsail.membership.terms import PERIOD
 from stepsail.policy.terms import bound
-from stepsail.standins.day import KEPT_TROUBLES, WORD_TROUBLES, Day, Trouble
+from stepsail.standins.day import KEPT_TROUBLES, WORD_TROUBLES, Day, Proposal, Trouble
 from stepsail.standins.switch import Switch, Ways
 from stepsail.standins.transcript import Transcript
 from stepsail.standins.world import World
@@ -257,8 +257,8 @@
             loop.spawn(self._trouble, world, trouble, name=f"trouble {trouble.kind}", essential=True)
         if self.day.keepers:
             self.transcript.add("day", "policy", keepers=self.day.keepers, bound=bound())
-        for at, patience in self.day.changes:
-            loop.spawn(self._change, at, patience, name="change of policy", essential=True)
+        for proposal in self.day.changes:
+            loop.spawn(self._change, world, proposal, name="change of policy", essential=True)
         arrivals = loop.spawn(crowd.arrive, start + self.day.length, name="arrivals", essential=True)
         while not arrivals.done:
             loop.sleep(0.25)
@@ -279,14 +279,18 @@
                 found.append((said.status, json.loads(said.body)))
         return found
 
-    def _change(self, at: float, patience: float) -> None:
+    def _change(self, world: World, proposal: Proposal) -> None:
         """Propose at whoever leads, again and again for a while."""
-        self.loop.sleep(at)
-        until, body = self.loop.now() + PROPOSE_FOR, json.dumps({"text": f"change of {at:.3f}", "patience": patience})
+        self.loop.sleep(proposal.at)
+        until = self.loop.now() + PROPOSE_FOR
+        body = json.dumps({"text": f"change of {proposal.at:.3f}", "patience": proposal.patience})
         while self.loop.now() < until and not self.over:
             for status, said in self._asked_keepers(b"POST", body.encode()):
                 if status == 202:
-                    self.transcript.add("policy", "proposed", number=said["number"], patience=patience)
+                    self.transcript.add("policy", "proposed", number=said["number"], patience=proposal.patience)
+                    if proposal.cut:
+                        self.loop.sleep(proposal.soon)
+                        self._trouble(world, Trouble("cut-umpires", 0.0, proposal.length, part=proposal.cut))
                     return
             self.loop.sleep(0.5)
         self.transcript.add("policy", "not proposed")
