--- a/tests/fleet/test_view_processes.py
+++ b/tests/fleet/test_view_processes.py
@@ -1,4 +1,4 @@
-"""The fleet's view kept by processes of the real program, with faults between them."""
+"""The fleet's view, and changes of policy, by processes of the real program with faults between them."""
 
 from __future__ import annotations
 
@@ -7,7 +7,9 @@
 from stepsail.loop import Loop, PollDriver
 from stepsail.standins.day import read_day
 from stepsail.standins.rehearsal import Rehearsal
+from stepsail.verify import read_history, verify
 from stepsail.verify.fleet import read_fleet
+from stepsail.verify.policies import Policies
 
 DAY = Path(__file__).parents[2] / "days" / "fleet" / "processes.conf"
 
@@ -23,3 +25,8 @@
     fleet = read_fleet(tmp_path)
     assert fleet.judge() == [] and rehearsal.codes == [0] * 5
     assert fleet.judged["completeness"] >= 3 and fleet.judged["settling"] >= 5
+    history = read_history(tmp_path / "transcript.jsonl")
+    policies = Policies(history)
+    assert policies.judge() == [] and verify(history) == []
+    (past,) = (x for x in history.lines if x["at"] == "policy" and x["what"] == "past")
+    assert (past["held"], past["given_up"]) == ([2], [1]) and sorted(policies.judged) == [0, 2]
