--- a/stepsail/consensus/terms.py
+++ b/stepsail/consensus/terms.py
@@ -13,5 +13,3 @@
 MOST_BATCH = 8  # entries sent to a follower at once
 MOST_LOG = 64  # entries kept behind a snapshot until the next one is taken
 MOST_WAITING = 64  # proposals in the log that are not decided; further ones are refused
-MOST_FRAGMENT = 1000  # bytes of a datagram's part of a longer message
-MOST_PARTS = 40  # parts of one message
--- a/stepsail/policy/holder.py
+++ b/stepsail/policy/holder.py
@@ -41,24 +41,23 @@
         if not self.left and (not self.admitted or self.pending) and now >= self.ask_at:
             # Guards against one that is admitted, has not heard so, and is asked to confirm: it asks for that first;
             # and all keepers at once, as only one that leads can let it in: by turns a start took up to 6 s longer.
-            for _ in self.keepers if not self.admitted else "1":
+            for _ in range(1 if self.admitted else len(self.keepers)):
                 self._say(Kind.ASK, self.pending[0] if self.pending and self.admitted else 0)
                 self.turn += 1
             self.ask_at = now + self.pause
             self.pause = min(MOST_ASK, self.pause * 1.25)
         self.next_at = self.ask_at if not self.left and (not self.admitted or self.pending) else inf
 
-    def heard(self, word: Word, keeper: int, now: float) -> bool:
-        """One word from a keeper; whether the policy in force has changed."""
+    def heard(self, word: Word, keeper: int, now: float) -> None:
+        """One word from a keeper; what is to another life, or older than what is known, changes nothing."""
         now = self.now = max(self.now, now)
         if word.umpire != self.umpire or self.left:
-            return False
+            return
         if word.kind is Kind.LATER and not self.admitted:
-            self.start = max(self.start, word.start + 1 if word.start >= self.start else self.start)
-            return False
+            self.start = max(self.start, word.start + 1)
+            return
         if word.start != self.start:
-            return False  # to an earlier life of this number
-        was = self.number, self.admitted
+            return  # to an earlier life of this number
         if word.kind is Kind.ADMITTED and not self.admitted:
             self.admitted = True
             self._hold(word.number, word.text)
@@ -75,7 +74,6 @@
             later = word.held > self.number
             self._hold(word.held if later else self.number, word.text if later else self.text)
         self.tick(now)
-        return (self.number, self.admitted) != was
 
     def leave(self) -> None:
         """Take nothing any more, and say so."""
