Read again: one clock for both benches, one seal for words, one way to kill an umpire

Cause: the change read once more.

Change: standins/clock.py under lab.py and keepers.py; sealed and opened in membership/words.py; _killed takes what is done meanwhile; the rest is gone. Behaviour as it was.

--- a/stepsail/membership/words.py
+++ b/stepsail/membership/words.py
@@ -55,17 +55,27 @@
 DECODER = msgspec.msgpack.Decoder(Word)
 
 
+def sealed(mark: bytes, fleet: int, body: bytes) -> bytes:
+    """What goes over the view's port beside the view's own words: a mark of four bytes, and a checksum as theirs."""
+    return mark + crc32(body, fleet).to_bytes(4, "big") + body
+
+
+def opened(fleet: int, data: bytes, least: int) -> bytes:
+    """What was sealed, of so many bytes at least. Raises BadWord."""
+    body = data[8:]
+    if len(body) < least or crc32(body, fleet) != int.from_bytes(data[4:8], "big"):
+        raise BadWord("not of this fleet, or not whole")
+    return body
+
+
 def wrap(fleet: int, number: int, start: int, text: bytes) -> bytes:
     """What one umpire tells another beside the view's own words, under the name of its present life."""
-    body = number.to_bytes(4, "big") + start.to_bytes(8, "big") + text
-    return MARK + crc32(body, fleet).to_bytes(4, "big") + body
+    return sealed(MARK, fleet, number.to_bytes(4, "big") + start.to_bytes(8, "big") + text)
 
 
 def unwrap(fleet: int, data: bytes) -> tuple[int, int, bytes]:
     """Number and start of who tells it, and what it is. Raises BadWord."""
-    body = data[8:]
-    if len(body) < 12 or crc32(body, fleet) != int.from_bytes(data[4:8], "big"):
-        raise BadWord("not of this fleet, or not whole")
+    body = opened(fleet, data, 12)
     return int.from_bytes(body[:4], "big"), int.from_bytes(body[4:12], "big"), body[12:]
 
 
--- a/stepsail/standins/keepers.py
+++ b/stepsail/standins/keepers.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from heapq import heappop, heappush
 from itertools import count
 from random import Random
 from typing import Any
@@ -12,6 +10,7 @@
 
 from stepsail.consensus import Kept, Message, Raft, Role, Write, decode, encode
 from stepsail.consensus.entries import apply
+from stepsail.standins.clock import Clock
 
 
 class Disk:
@@ -46,13 +45,13 @@
         self.due = 0
 
 
-class Keepers:
+class Keepers(Clock):
     """`numbers` of them, all new. `decided`: every place that anybody was told, and what stands there."""
 
     def __init__(self, size: int, seed: int) -> None:
-        self.random, self.now, self.seed, self.lives = Random(f"{seed} keepers"), 100.0, seed, count()
-        self.queue: list[tuple[float, int, Callable[[], object]]] = []
-        self.order, self.numbers = count(), tuple(range(size))
+        super().__init__()
+        self.random, self.seed, self.lives = Random(f"{seed} keepers"), seed, count()
+        self.numbers = tuple(range(size))
         self.loss, self.doubled, self.late, self.sync_takes = 0.0, 0.0, 0.0, 0.002
         self.cut: set[tuple[int, int]] = set()
         self.decided: dict[int, bytes] = {}
@@ -91,16 +90,6 @@
         found = [(k.raft.kept.term, n) for n, k in self.keepers.items() if k.raft and k.raft.role is Role.LEADER]
         return max(found)[1] if found else None
 
-    def run(self, seconds: float) -> None:
-        until = self.now + seconds
-        while self.queue and self.queue[0][0] <= until:
-            self.now, _, call = heappop(self.queue)
-            call()
-        self.now = until
-
-    def _at(self, when: float, call: Callable[[], object]) -> None:
-        heappush(self.queue, (when, next(self.order), call))
-
     def _after(self, keeper: Keeper) -> None:
         """Carry out what a keeper wants, judge it, and wake it in time."""
         raft = keeper.raft
@@ -109,13 +98,13 @@
             self.wrong.append(f"two leaders of term {raft.kept.term}")
         for write in raft.take_writes():
             keeper.disk.pending.append(write)
-            self._at(self.now + self.sync_takes * (0.5 + self.random.random()), lambda: self._sync(keeper, raft))
+            self.at(self.now + self.sync_takes * (0.5 + self.random.random()), lambda: self._sync(keeper, raft))
         for to, message in raft.take_out():
             self._send(keeper.number, to, message)
         self._tell(keeper, raft)
         keeper.due += 1
         due = keeper.due
-        self._at(max(self.now, raft.next_at) + 1e-6, lambda: self._tick(keeper, raft) if due == keeper.due else None)
+        self.at(max(self.now, raft.next_at) + 1e-6, lambda: self._tick(keeper, raft) if due == keeper.due else None)
 
     def _tell(self, keeper: Keeper, raft: Raft) -> None:
         snapshot = raft.take_snapshot()
@@ -130,7 +119,7 @@
             raft.propose(self.files_entry(number, files))
         for write in raft.take_writes():
             keeper.disk.pending.append(write)
-            self._at(self.now + self.sync_takes, lambda: self._sync(keeper, raft))
+            self.at(self.now + self.sync_takes, lambda: self._sync(keeper, raft))
 
     # -- the state machine: here, all that was told ------------------------------------------------------
 
@@ -166,7 +155,7 @@
         if (sender, to) in self.cut or self.random.random() < self.loss:
             return
         for _ in range(2 if self.random.random() < self.doubled else 1):
-            self._at(self.now + 0.001 * (1 + self.random.random()) + self.late * self.random.random(),
+            self.at(self.now + 0.001 * (1 + self.random.random()) + self.late * self.random.random(),
                      lambda: self._arrive(to, data))
 
     def _arrive(self, to: int, data: bytes) -> None:
--- a/stepsail/standins/lab.py
+++ b/stepsail/standins/lab.py
@@ -4,12 +4,12 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
-from heapq import heappop, heappush
 from itertools import count
 from random import Random
 
 from stepsail.membership import Members, Terms, View
 from stepsail.membership.terms import MOST_BYTES
+from stepsail.standins.clock import Clock
 
 Address = tuple[str, int]
 
@@ -31,15 +31,14 @@
     datagrams_sent: int = 0
 
 
-class Lab:
+class Lab(Clock):
     """`make`: another view of the fleet, made and driven as Members is, for comparisons."""
 
     def __init__(self, size: int, seed: int = 1, terms: Terms | None = None, start: bool = True,
                  make: Callable[..., Members] = Members) -> None:
         self.make = make
-        self.now, self.random, self.seed, self.terms = 100.0, Random(f"{seed} lab"), seed, terms or Terms()
-        self.queue: list[tuple[float, int, Callable[[], object]]] = []
-        self.order, self.starts = count(), count(1)
+        super().__init__()
+        self.random, self.seed, self.terms, self.starts = Random(f"{seed} lab"), seed, terms or Terms(), count(1)
         self.nodes: dict[int, Node] = {}
         self.homes: dict[Address, Node] = {}
         self.cut: set[tuple[int, int]] = set()  # from, to
@@ -93,16 +92,6 @@
     def heal(self) -> None:
         self.cut.clear()
 
-    def at(self, when: float, call: Callable[[], object]) -> None:
-        heappush(self.queue, (when, next(self.order), call))
-
-    def run(self, seconds: float) -> None:
-        until = self.now + seconds
-        while self.queue and self.queue[0][0] <= until:
-            self.now, _, call = heappop(self.queue)
-            call()
-        self.now = until
-
     # -- what the views are ------------------------------------------------------------------------------
 
     def live(self) -> list[Node]:
--- a/stepsail/standins/policies.py
+++ b/stepsail/standins/policies.py
@@ -10,7 +10,7 @@
 
 from stepsail.consensus import Raft, Role
 from stepsail.policy import Holder, Order, Steward, Word, decode, encode
-from stepsail.policy.order import DECODER, Change, Decide, Files, GiveUp, put
+from stepsail.policy.order import Decide, Files, GiveUp, put
 from stepsail.policy.terms import bound
 from stepsail.standins.keepers import Keeper, Keepers
 
@@ -42,7 +42,7 @@
         super().__init__(size, seed)
         for number in self.umpires:
             self.start_umpire(number)
-        self._at(self.now + LOOK, self._look)
+        self.at(self.now + LOOK, self._look)
 
     # -- umpires -----------------------------------------------------------------------------------------
 
@@ -85,7 +85,7 @@
     def _look(self) -> None:
         for umpire in self.umpires.values():
             self._take(umpire)
-        self._at(self.now + LOOK, self._look)
+        self.at(self.now + LOOK, self._look)
 
     def _take(self, umpire: Umpire) -> None:
         """A transaction comes to each that runs: by which policy it is taken."""
@@ -110,7 +110,7 @@
         umpire.due += 1
         due, wait = umpire.due, (holder.next_at - self.clock(umpire)) / umpire.rate
         if wait < inf:
-            self._at(self.now + max(0.0, wait) + 1e-6, lambda: self._tick_umpire(umpire, holder, due))
+            self.at(self.now + max(0.0, wait) + 1e-6, lambda: self._tick_umpire(umpire, holder, due))
 
     def _tick_umpire(self, umpire: Umpire, holder: Holder, due: int) -> None:
         if umpire.holder is holder and umpire.due == due and not umpire.frozen:
@@ -129,7 +129,7 @@
         if self.random.random() < self.loss:
             return
         for _ in range(2 if self.random.random() < self.doubled else 1):
-            self._at(self.now + 0.001 * (1 + self.random.random()) + self.late * self.random.random(), call)
+            self.at(self.now + 0.001 * (1 + self.random.random()) + self.late * self.random.random(), call)
 
     def _to_keeper(self, number: int, word: Word) -> None:
         keeper = self.keepers[number]
@@ -179,8 +179,3 @@
                 self._carry(lambda number=number, data=data:  # type: ignore[misc]
                             self._hear(self.umpires[number], keeper.number, data))
         super()._after(keeper)
-
-
-def changes_in(entries: dict[int, bytes]) -> list[Change]:
-    """The changes among decided entries."""
-    return [step for data in entries.values() if data for step in (DECODER.decode(data),) if isinstance(step, Change)]
--- a/stepsail/standins/rehearsal.py
+++ b/stepsail/standins/rehearsal.py
@@ -341,7 +341,9 @@
         random = world.chance(f"{trouble.kind} {trouble.at}")
         for umpire in self._part(world, trouble):
             if trouble.kind in ("restart-umpires", "leave-umpires"):
-                ends = self._killed if trouble.kind == "restart-umpires" else self._left
+                ends: Callable[..., None] = self._left
+                if trouble.kind == "restart-umpires":
+                    ends = self._killed
                 self.loop.after(random.uniform(0.0, trouble.length), partial(
                     self.loop.spawn, ends, world, umpire, random.uniform(0.2, 2.0), name="restart"))
                 continue
@@ -405,16 +407,14 @@
             place.unlink(missing_ok=True)
             self.transcript.add("disk", "has room", umpire=umpire.number)
             return
-        if umpire.ended():
-            return
-        umpire.kill()
-        if trouble.kind == "lose-kept":
-            umpire.kept.unlink(missing_ok=True)
-        elif umpire.kept.exists():
-            umpire.kept.write_bytes(umpire.kept.read_bytes()[:-max(1, umpire.kept.stat().st_size // 3)])
-        self.transcript.add("disk", trouble.kind, umpire=umpire.number)
-        world.fronts[umpire.zone].dead_at[umpire.number] = self.loop.now()
-        self._again(world, umpire, trouble.length)
+
+        def spoil() -> None:
+            if trouble.kind == "lose-kept":
+                umpire.kept.unlink(missing_ok=True)
+            elif umpire.kept.exists():
+                umpire.kept.write_bytes(umpire.kept.read_bytes()[:-max(1, umpire.kept.stat().st_size // 3)])
+            self.transcript.add("disk", trouble.kind, umpire=umpire.number)
+        self._killed(world, umpire, trouble.length, spoil)
 
     def _said_words(self, ways: Ways) -> None:
         self.transcript.add("words", "ways", lose=ways.lose, twice=ways.twice, delay=ways.delay[1], again=ways.again)
@@ -433,10 +433,12 @@
         self.loop.sleep(seconds)
         umpire.send(signal.SIGCONT, "continued")
 
-    def _killed(self, world: World, umpire: Actor, seconds: float) -> None:
+    def _killed(self, world: World, umpire: Actor, seconds: float, then: Callable[[], None] = lambda: None) -> None:
+        """Killed, and started again this long after; `then`: what is done to it while it is down."""
         if umpire.ended():
             return
         umpire.kill()
+        then()
         world.fronts[umpire.zone].dead_at[umpire.number] = self.loop.now()
         self._again(world, umpire, seconds)
 
--- a/stepsail/standins/world.py
+++ b/stepsail/standins/world.py
@@ -108,7 +108,7 @@
 
     def _cut_link(self, name: str, link: Link) -> None:
         """Cut, or heal, one link as all present troubles together want it."""
-        ends, up = name.split(), False
+        ends = name.split()
         up = down = ends[0] != ends[1] and bool(self.cut_zones & set(ends[:2]))
         for umpires, what, says, hears in self.apart.values():
             if len(ends) > 2 and ends[2] in what and int(ends[3][1:]) in umpires:
--- a/stepsail/umpire/fellows.py
+++ b/stepsail/umpire/fellows.py
@@ -11,7 +11,7 @@
 from stepsail.loop.driver import Address
 from stepsail.membership import BadWord, Counted, Members, Terms, View
 from stepsail.membership.terms import PERIOD
-from stepsail.membership.words import MARK, unwrap, wrap
+from stepsail.membership.words import MARK, opened, sealed, unwrap, wrap
 from stepsail.umpire.budget import Budget
 from stepsail.umpire.host import Host, Log
 
@@ -72,12 +72,12 @@
 
     def send_policy(self, to: Address, text: bytes) -> None:
         """To whoever is there, shown by the view or not; lost at will."""
-        self.socket.send(POLICY + crc32(text, self.fleet).to_bytes(4, "big") + text, to)
+        self.socket.send(sealed(POLICY, self.fleet, text), to)
 
     def _policy_told(self, data: bytes) -> None:
-        if crc32(data[8:], self.fleet) == int.from_bytes(data[4:8], "big") and len(data) > 13:
-            self.on_policy(data[8:])
-        else:
+        try:
+            self.on_policy(opened(self.fleet, data, 6))
+        except BadWord:
             self.passed_over += 1
 
     def _told(self, data: bytes) -> None:
--- a/stepsail/umpire/governed.py
+++ b/stepsail/umpire/governed.py
@@ -45,8 +45,6 @@
             self.file = KeptFile(orders.policy.folder)
             kept = self.file.read(start)
             self.raft = Raft(orders.charter.me, tuple(self.keepers), kept, seed, loop.now())
-            if kept.snapshot:
-                self.order.restore(kept.snapshot)
         fellows.on_policy = self._arrived
 
     @property
--- a/tests/verify/test_policy_checker.py
+++ b/tests/verify/test_policy_checker.py
@@ -44,6 +44,6 @@
 
 
 def test_a_day_that_tells_no_end_of_its_changes_is_named() -> None:
-    lines = [x for x in [{"t": 0.0, "at": "day", "what": "facts", "umpire_zones": ["a"], "products": {}},
-                         {"t": 0.0, "at": "day", "what": "policy", "keepers": 3, "bound": 5.0}]]
+    lines: list[Line] = [{"t": 0.0, "at": "day", "what": "facts", "umpire_zones": ["a"], "products": {}},
+                         {"t": 0.0, "at": "day", "what": "policy", "keepers": 3, "bound": 5.0}]
     assert Policies(History(lines)).judge() == ["decided: the day does not tell what became of its changes"]
