Tests: the platform's stage stands beside the tests that share it

Cause: tests of endings need the same umpire on loopback as tests/platform; a copy would be a second one. Change: Teller, Stage, entry and says move to tests/stage.py, unchanged.

--- a/tests/platform/test_umpire.py
+++ b/tests/platform/test_umpire.py
@@ -7,122 +7,18 @@
 import subprocess
 import time
 import tomllib
-from collections.abc import Callable
 from pathlib import Path
-from typing import Any
 
 import msgspec
 from posted import written
-from rig import Said, Script, ScriptedBox, answers, hangs
+from rig import answers, hangs
+from stage import NEWS, Stage, Teller, entry, says
 
-from stepsail.balance import Umpire
-from stepsail.http import Bounds, Inlet, Outlet, Progress, Request, Response, encode_request, encode_response
-from stepsail.http.message import chunk
+from stepsail.http import encode_response
 from stepsail.interface import Verdict
-from stepsail.loop import Listener, Loop, PollDriver, Stream
-from stepsail.platform.life import Life
-from stepsail.platform.settings import read_post
+from stepsail.loop import Stream
 from stepsail.standins.rehearsal import free_address
 
-OPEN = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
-NEWS = {"build": 1, "stage": 1, "phase": "live", "cap": 1.0, "age_ms": 0}
-
-
-class Teller:
-    """Discovery or the platform: streams the lines it is given, and keeps what else it is asked."""
-
-    def __init__(self, loop: Loop, *lines: Any) -> None:
-        self.loop, self.lines, self.asked = loop, list(lines), list[Request]()
-        self.answer: bytes = encode_response(200, [], msgspec.json.encode(NEWS))
-        self.listener = Listener(loop, ("127.0.0.1", 0), 100)
-        self.address = "{}:{}".format(*self.listener.address)
-        loop.spawn(self.listener.serve, self._serve, "teller", name="teller")
-
-    def _serve(self, stream: Stream) -> None:
-        request = Inlet(self.loop, stream, Bounds()).next()
-        if request is None:
-            return
-        self.asked.append(request)
-        if request.method == b"POST":
-            stream.write(self.answer, 1.0)
-            return
-        stream.write(OPEN, 1.0)
-        for line in self.lines:
-            stream.write(chunk(line if isinstance(line, bytes) else msgspec.json.encode(line) + b"\n"), 1.0)
-        self.loop.sleep(30.0)
-
-
-def entry(box: ScriptedBox, **changed: Any) -> dict[str, Any]:
-    return {"name": "s-" + box.address.split(":")[1], "address": box.address, "zone": "hall-a", "type": "m2",
-            "group": 0, "status": "up", "weight": 1.0, "since_ms": 0, "revision_no": 1} | changed
-
-
-def says(data: bytes) -> Script:
-    return lambda box, stream, request, inlet: data
-
-
-class Stage:
-    """Runs `test(stage)` beside one umpire."""
-
-    def __init__(self, folder: Path, test: Callable[[Stage], None], scripts: list[Script], **changed: Any) -> None:
-        self.driver, self.log, self.folder, self.test = PollDriver(), Said(), folder, test
-        self.loop, self.scripts, self.changed = Loop(self.driver, self.log._line), scripts, changed
-        try:
-            self.loop.run(self._main)
-        finally:
-            self.driver.shutdown()
-
-    def write(self) -> dict[str, str]:
-        told: dict[str, Any] = {"deployer": {"address": self.deployer.address, "news": NEWS}}
-        return written(self.folder, listen="{}:{}".format(*self.listen), discovery=self.discovery.address,
-                       known={"index": 1, "snapshot": True, "endpoints": [entry(b) for b in self.boxes]},
-                       **(told | self.changed))
-
-    def _main(self) -> None:
-        self.boxes = [ScriptedBox(self.loop, script, number=at) for at, script in enumerate(self.scripts)]
-        whole = {"index": 2, "snapshot": True, "endpoints": [entry(b) for b in self.boxes]}
-        self.discovery = Teller(self.loop, whole)
-        self.deployer = Teller(self.loop, {"type": "ROLLOUT", "object": NEWS}, {})
-        self.listen = free_address()
-        environ = self.write()
-        self.life = Life(self.loop, read_post(environ, 0.0), Umpire, self.log, lambda: read_post(environ, 0.0))
-        self.task = self.loop.spawn(self.life.run, name="umpire")
-        self.until(lambda: self.life.door.ready)
-        self.test(self)
-
-    def until(self, true: Callable[[], Any]) -> None:
-        end = self.loop.now() + 5.0
-        while not true():
-            assert self.loop.now() < end, self.log
-            self.loop.sleep(0.005)
-
-    def ask(self, target: str = "/lookup", method: str = "GET", mark: str = "a1", left: int = 1000,
-            stream: Stream | None = None, body: bytes = b"", **more: str) -> Response:
-        own = stream or Stream.connect(self.loop, self.listen, 1.0)
-        head = [(b"host", b"x"), (b"x-call-id", mark.encode()), (b"x-budget-ms", b"%d" % left),
-                *((name.replace("_", "-").encode(), value.encode()) for name, value in more.items())]
-        try:
-            return Outlet(self.loop, own, Bounds()).exchange(
-                encode_request(method.encode(), target.encode(), head, body), self.loop.now() + 4.0, Progress())
-        finally:
-            if stream is None:
-                own.close()
-
-    def said(self, data: bytes, within: float = 3.0) -> bytes:
-        """All that comes back for raw bytes until the umpire closes."""
-        stream, got = Stream.connect(self.loop, self.listen, 1.0), b""
-        try:
-            with self.loop.timeout(within):
-                stream.write(data, 2.0)
-                while part := stream.read():
-                    got += part
-                return got
-        except OSError:
-            return got
-        finally:
-            stream.close()
-        raise AssertionError("neither answered nor closed in time")
-
 
 def test_a_transaction_goes_through_and_the_connection_stays(tmp_path: Path) -> None:
     def test(stage: Stage) -> None:
