A stop pays what it owes: backlog, unread and half-read requests, answers at the end of its time

Change: Listener.finish accepts all that waits, then closes; a connection is closed only where no byte is here (poll with no wait); Door.part, called again and again, closes those on which nothing is owed; the time counts from SIGTERM and what is still held 0.1 s before its end gets its final answer. With it, and with tests of their own to follow: a time-out takes what came in the same turn; the client's close is looked for before an attempt's first byte; an id is not free while an attempt of its first bearer is out; room is made by closing only connections without a byte.

--- a/stepsail/emulate/driver.py
+++ b/stepsail/emulate/driver.py
@@ -103,6 +103,14 @@
         if port.waiters.get(direction) is waiter:
             del port.waiters[direction]
 
+    def readable(self, port: seam.Port) -> bool:
+        assert isinstance(port, Port)
+        return port.closed or port.ready(READ)
+
+    def hung_up(self, port: seam.Port) -> bool:
+        assert isinstance(port, Port)
+        return port.closed or port.hung_up
+
     # -- ports -------------------------------------------------------------------------------------------
 
     def adopt(self, port: Port) -> None:
--- a/stepsail/emulate/network.py
+++ b/stepsail/emulate/network.py
@@ -52,6 +52,11 @@
     def ready(self, direction: int) -> bool:
         raise NotImplementedError
 
+    @property
+    def hung_up(self) -> bool:
+        """Whether the far end has closed or is gone."""
+        return False
+
     def name(self) -> Address:
         return self.address
 
@@ -111,6 +116,10 @@
             return self.decided and (self.unread > 0 or self.ended)
         return self.decided and self.under_way < WINDOW
 
+    @property
+    def hung_up(self) -> bool:
+        return self.ended or self.error != 0
+
     def connected(self) -> None:
         if self.error:
             raise OSError(self.error, os.strerror(self.error))
--- a/stepsail/http/inlet.py
+++ b/stepsail/http/inlet.py
@@ -56,9 +56,13 @@
                 data = b"" if self.half_closed else self.stream.read(
                     max(0.0, by - self.loop.now()) if by else self.bounds.idle)
             except TimedOut:
-                if reader.begun:
+                # Guards against a turn in which the time is over and the bytes are here: they came first.
+                late = self.stream.read_now()
+                if late is None and reader.begun:
                     raise BadMessage(408, "a request took too long to arrive") from None
-                return None
+                if late is None:
+                    return None
+                data = late
             if not data:
                 if reader.begun:
                     raise BadMessage(400, "the stream ended inside a request")
@@ -77,10 +81,16 @@
         return True
 
     def look(self) -> bool:
-        """After a wake-up: take in what came. False when the client has closed its side. Raises OSError."""
-        data = self.stream.read_now()
-        if data is None:
-            return True
-        self.half_closed = not data
-        self.reader.buffer += data
-        return not self.half_closed
+        """Take in what came, up to AHEAD. False when the client has closed its side, also behind what it sent ahead.
+        Raises OSError."""
+        while not self.half_closed and len(self.reader.buffer) < AHEAD:
+            data = self.stream.read_now()
+            if data is None:
+                return True
+            self.half_closed = not data
+            self.reader.buffer += data
+        return not (self.half_closed or self.stream.hung_up())
+
+    def quiet(self) -> bool:
+        """Whether not one byte of a request is here, read or not: only then may the connection be closed."""
+        return not (self.reader.begun or self.stream.readable())
--- a/stepsail/http/outlet.py
+++ b/stepsail/http/outlet.py
@@ -6,7 +6,7 @@
 
 from stepsail.http.message import BadMessage, Bounds, Flow, Response, chunk
 from stepsail.http.reader import Reader
-from stepsail.loop import Loop, Stream
+from stepsail.loop import Loop, Stream, TimedOut
 
 
 @dataclass(slots=True)
@@ -86,7 +86,14 @@
                 progress.written = stream.sent - before
             while True:
                 while not reader.whole and not reader.flowing:
-                    part = stream.read(max(0.0, until - loop.now()))
+                    try:
+                        part = stream.read(max(0.0, until - loop.now()))
+                    except TimedOut:
+                        # Guards against a turn in which the time is over and the answer is here: it came first.
+                        late = stream.read_now()
+                        if late is None:
+                            raise
+                        part = late
                     progress.read += len(part)
                     if part:
                         reader.feed(part)
--- a/stepsail/loop/driver.py
+++ b/stepsail/loop/driver.py
@@ -57,6 +57,12 @@
 
     def unwant(self, port: Port, direction: int, waiter: Waiter) -> None: ...
 
+    def readable(self, port: Port) -> bool:
+        """Whether a read, or an accept, would give something now: bytes, a connection, the end or an error."""
+
+    def hung_up(self, port: Port) -> bool:
+        """Whether the far end has closed or is gone, also where bytes of before lie unread."""
+
     def close(self, port: Port) -> None:
         """Close a port and wake whoever waits on it; its number may be used again at once."""
 
--- a/stepsail/loop/poll.py
+++ b/stepsail/loop/poll.py
@@ -25,6 +25,7 @@
 READY = {READ: select.POLLIN | select.POLLPRI, WRITE: select.POLLOUT}
 ENDED = select.POLLHUP | select.POLLERR | select.POLLNVAL  # wakes readers, who first get the unread data
 WOULD_WAIT = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR)
+GONE_AGAIN = (errno.ECONNABORTED, errno.EPROTO)  # a connection that ended before it was accepted
 NO_DESCRIPTORS = (errno.EMFILE, errno.ENFILE)
 TCP_INFO_SIZE, LAST_DATA_AT = 64, 52  # of tcp_info in linux/tcp.h: tcpi_last_data_recv, in ms
 LAST_DATA_RECEIVED = struct.Struct("I")
@@ -40,12 +41,15 @@
         self.sock, self.fd, self.mask = sock, sock.fileno(), 0
 
     def accept(self) -> tuple[Port, Address] | None:
-        try:
-            sock, peer = self.sock.accept()
-        except OSError as trouble:
-            if trouble.errno in (*WOULD_WAIT, errno.ECONNABORTED, errno.EPROTO):
-                return None
-            raise
+        while True:
+            try:
+                sock, peer = self.sock.accept()
+                break
+            except OSError as trouble:
+                if trouble.errno in WOULD_WAIT:
+                    return None
+                if trouble.errno not in GONE_AGAIN:  # those behind one that has gone wait still
+                    raise
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return SocketPort(sock), (peer[0], peer[1])
 
@@ -196,6 +200,21 @@
         if not port.closed and port.waiters.get(direction) is waiter:
             del port.waiters[direction]
 
+    def readable(self, port: Port) -> bool:
+        return self._look(port, READY[READ] | ENDED)
+
+    def hung_up(self, port: Port) -> bool:
+        return self._look(port, ENDED | select.POLLRDHUP)
+
+    @staticmethod
+    def _look(port: Port, mask: int) -> bool:
+        assert isinstance(port, SocketPort)
+        if port.closed:
+            return True
+        poller = select.poll()
+        poller.register(port.fd, mask)
+        return bool(poller.poll(0))
+
     def close(self, port: Port) -> None:
         assert isinstance(port, SocketPort)
         if port.closed:
--- a/stepsail/loop/stream.py
+++ b/stepsail/loop/stream.py
@@ -97,6 +97,14 @@
     def disarm(self, waiter: Waiter) -> None:
         self.loop.driver.unwant(self.port, READ, waiter)
 
+    def readable(self) -> bool:
+        """Whether bytes, the end or an error are here, so that a close now would not pass over silence."""
+        return self.loop.driver.readable(self.port)
+
+    def hung_up(self) -> bool:
+        """Whether the far end has closed, also behind bytes that lie unread."""
+        return self.loop.driver.hung_up(self.port)
+
     def half_close(self) -> None:
         self.port.half_close()
 
@@ -121,9 +129,12 @@
         self.address = self.port.name()
         self.open: dict[Stream, None] = {}  # in the order they came, which a replay of chance keeps
         self.room: Waiter | None = None
+        self.handle: Callable[[Stream], Any] = lambda stream: None
+        self.name = "client"
 
     def serve(self, handle: Callable[[Stream], Any], name: str) -> None:
         """Accept until closed."""
+        self.handle, self.name = handle, name
         while not self.port.closed:
             if len(self.open) >= self.most:
                 if self.make_room and self.make_room():
@@ -135,20 +146,43 @@
                                    ROOM_LOOK if self.make_room else None)
                 continue
             try:
-                taken = self.port.accept()
+                took = self._accept()
             except OSError as trouble:
                 self._shed(trouble)
                 continue
-            if taken is None:
-                try:
-                    self.loop.ready(self.port, READ, "a connection")
-                except Closed:
-                    return
+            if took:
+                self.loop.spend()
                 continue
-            stream = Stream(self.loop, *taken)
-            self.open[stream] = None
-            self.loop.spawn(self._one, handle, stream, name=f"{name} {stream.peer[0]}:{stream.peer[1]}")
-            self.loop.spend()
+            try:
+                self.loop.ready(self.port, READ, "a connection")
+            except Closed:
+                return
+
+    def _accept(self) -> bool:
+        """Take one that waits, if one does. Raises OSError."""
+        taken = self.port.accept()
+        if taken is None:
+            return False
+        stream = Stream(self.loop, *taken)
+        self.open[stream] = None
+        self.loop.spawn(self._one, self.handle, stream, name=f"{self.name} {stream.peer[0]}:{stream.peer[1]}")
+        return True
+
+    def finish(self) -> bool:
+        """Take all that the system has accepted for this process, then close; False while there is no room for one.
+
+        Guards against a close over connections that wait in the backlog: it resets them, with the whole requests that
+        they may hold.
+        """
+        while not self.port.closed:
+            if len(self.open) >= self.most:
+                return False
+            try:
+                if not self._accept():
+                    self.close()
+            except OSError:
+                return False
+        return True
 
     def _shed(self, trouble: OSError) -> None:
         shed = getattr(self.loop.driver, "shed_one", None)
--- a/stepsail/platform/door.py
+++ b/stepsail/platform/door.py
@@ -35,6 +35,7 @@
         self.orders = orders
         self.products = {route.path.encode(): route for route in orders.routes}
         self.ids: set[bytes] = set()  # of the transactions that are held; as many as those at most
+        self.running: set[int] = set()  # numbers of those that are answered, or left, with an attempt still out
 
     def hears(self, request: Request, ready: bool) -> Asked | Response:
         path = request.target.partition(b"?")[0]
@@ -70,7 +71,18 @@
         self.ids.add(held.request.header(words.ID) or b"")
 
     def parted(self, held: Held) -> None:
-        self.ids.discard(held.request.header(words.ID) or b"")
+        """An id is free again once no attempt is out: guards against a second bearer whose request would run beside
+        what the first one, gone by then, has left running."""
+        if held.out:
+            self.running.add(held.number)
+        else:
+            self.ids.discard(held.request.header(words.ID) or b"")
+
+    def over(self, held: Held) -> None:
+        """No attempt is out any more."""
+        if held.number in self.running:
+            self.running.discard(held.number)
+            self.ids.discard(held.request.header(words.ID) or b"")
 
     def denied(self, held: Held) -> Response:
         after = [(b"retry-after", b"%.3f" % held.stay_away)] if held.stay_away > 0 else []
--- a/stepsail/platform/life.py
+++ b/stepsail/platform/life.py
@@ -34,7 +34,9 @@
         self.deployer = Deployer(loop, orders, self.host, log, orders.conveyor, orders.seed or 0)
         self.nodes = Nodes(loop, orders, self.host, PlatformWire(orders, self.discovery.place, post.reports))
         self.discovery.moved = self.nodes.let_go_of
-        self.door = Door(loop, orders, self.host, log, NoLedger(), PlatformSpeech(orders))
+        speech = PlatformSpeech(orders)
+        self.host.over = speech.over
+        self.door = Door(loop, orders, self.host, log, NoLedger(), speech)
         self.stopped = Event(loop)
         self.moving: Task | None = None
 
@@ -94,11 +96,12 @@
             return
 
     def _leave(self, sweep: Task) -> int:
+        told_at = self.loop.now()
         self.log.info("leaving", held=len(self.host.held))
         self.door.close_soon()
         self.loop.sleep(STILL_COMING)
         self.door.leave()
-        in_time = self.answer_held()
+        in_time = self.answer_held(told_at)
         sweep.cancel()
         self.tell_left()
         return 0 if in_time else 3
--- a/stepsail/platform/settings.py
+++ b/stepsail/platform/settings.py
@@ -21,7 +21,8 @@
 FIRST, SLOW = 2.2, 2.0  # s from connecting to a whole request; for each later one: bad ones are owed an end in 3 s
 REST = 0.005  # s that a server's connection rests, in which bytes that nobody asked for show
 LIFE = 0.6  # of the servers' idle time that a connection may be idle and still be used
-AFTER_TERM = 0.7  # s that may pass on a stop beyond the longest abandon time
+AFTER_TERM, LONGEST_COUNTED = 0.7, 3.0  # s that a stop may take: beyond the longest abandon time, at most so long
+SPARED = 0.05  # s before that at which this umpire has gone by itself, as force drops what is held
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,7 +78,8 @@
         answer_slack=found.span("Rules.AnswerSlackMs"), door_connections=door,
         most_open=min(door, found.whole("Limits.MaxOpen") or door), most_head=MOST_HEAD, most_body=MOST_BODY,
         hold=1 << 62, door_idle=IDLE, slow_sender=SLOW, tenant_header="", subject_header="", subject_secret=b"",
-        leave_within=AFTER_TERM + max(p.abandon for p in charter.products), log_form="json", log_level="info",
+        leave_within=AFTER_TERM - SPARED + min(LONGEST_COUNTED, max(p.abandon for p in charter.products)),
+        log_form="json", log_level="info",
         most_links=sockets - door, link_rest=REST, link_life=LIFE * charter.idle_for, first_within=FIRST,
         spare_idle=SPARE_IDLE)
     return Post(orders, deployer.get("news"), said.get("known"),
--- a/stepsail/umpire/door.py
+++ b/stepsail/umpire/door.py
@@ -2,18 +2,22 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import Protocol
 
 from stepsail.charter import Orders
 from stepsail.http import BadMessage, Bounds, Inlet, Request, Response, encode_response
 from stepsail.http.message import chunk, encode_response_start
-from stepsail.loop import Closed, Listener, Loop, Stream, TimedOut
+from stepsail.loop import Closed, Listener, Loop, Stream, Task, TimedOut
 from stepsail.umpire.host import Held, Host, Log
 from stepsail.umpire.ledger import Ledger
 from stepsail.umpire.speech import Asked, Speech
 
 POLICY = b"stepsail-policy"  # header: the number of the policy by which a transaction was taken
 NEW = 0.05  # s that a new client has to say something before it may have to make room for another
+PIECES = 1.0  # s that a request may take to arrive before it may have to make room for another
+SPEAKS = 0.6  # s on a stop in which a client that has connected says something: then it only holds us up
+AHEAD_LOOK = 0.05  # s between looks whether a client is there that has sent more ahead than is taken in
 LATE = 0.05  # s to write an answer whose client may be gone
 UNDER_WAY = 0.25  # of the answer's slack, for its way to the client: what leaves later may come when its time is over
 DRAIN, MOST_DRAIN = 0.5, 4 << 20  # s, and bytes, that are read on and thrown away behind a bad request
@@ -27,6 +31,15 @@
     def stay_away(self) -> float: ...
 
 
+@dataclass(frozen=True, slots=True)
+class Waits:
+    """A connection on which no whole request is here: since when, and who waits for one."""
+
+    since: float
+    inlet: Inlet
+    task: Task
+
+
 class Door:
     """Bounds: `door_connections` clients, `most_open` transactions; beyond those a transaction is denied at
     once, before the module hears of it, and nothing has run."""
@@ -39,8 +52,9 @@
                              orders.slow_sender, orders.first_within)
         self.listener: Listener | None = None
         self.closing, self.leaving, self.ready, self.number = False, False, False, 0
-        self.silent: dict[Stream, float] = {}  # connected and not yet heard, since when
-        self.idle: dict[Stream, float] = {}  # between two requests, since when
+        self.ending = False  # the time to leave is nearly over: what still comes is denied at once
+        self.silent: dict[Stream, Waits] = {}  # connected and not yet heard, longest first
+        self.idle: dict[Stream, Waits] = {}  # between two requests, longest first
 
     def open(self) -> None:
         """Begin to accept; raises OSError where the address cannot be had."""
@@ -50,31 +64,54 @@
 
     def _make_room(self) -> bool:
         """Guards against clients that connect by the hundreds and say nothing, or ask once and stay: the one that
-        has been silent longest goes, then the one idle longest. Could harm a slow client in a crowd of new ones."""
+        has been silent longest goes, then the one idle longest. Only one of which no byte is here is closed: with any
+        other a whole request could go unanswered. One that takes long over its request is refused, where no silent
+        one is left. Could harm a slow client in a crowd of new ones."""
+        now = self.loop.now()
         for found, least in ((self.silent, NEW), (self.idle, self.orders.spare_idle)):
-            stream = next(iter(found), None)
-            if stream is not None and found[stream] <= self.loop.now() - least:
-                stream.close()
-                del found[stream]
+            if self._close_quiet(found, now - least, most=1):
                 return True
+        slow = next((w for w in self.silent.values() if w.inlet.reader.begun), None)
+        if slow and slow.since <= now - PIECES and slow.task.waiting:
+            slow.task.waiting.throw(BadMessage(503, "no room to wait for the rest: trying again is harmless"))
         return False
 
+    @staticmethod
+    def _close_quiet(found: dict[Stream, Waits], until: float, most: int = 1 << 30) -> int:
+        """Close connections that wait since before a time and of which not one byte is here; how many."""
+        closed = 0
+        for stream, waits in tuple(found.items()):
+            if waits.since > until or closed >= most:
+                break
+            if waits.inlet.quiet():
+                stream.close()
+                del found[stream]
+                closed += 1
+        return closed
+
     def close_soon(self) -> None:
         """Go on as before, but each connection ends with its next answer."""
         self.closing = True
 
     def leave(self) -> None:
-        """Accept nothing new; connections without a transaction end now, the others after their answer."""
+        """Accept nothing but what the system has accepted already. `part` ends what waits for nothing."""
         self.leaving = True
-        if self.listener:
-            self.listener.close()
-        for stream in (*self.silent, *self.idle):
-            stream.close()
+        self.part()
+
+    def part(self) -> bool:
+        """On a stop, again and again: close connections on which nothing is owed; whether none is open any more.
+
+        Nothing is owed where no byte of a request is here, between two requests or some time after the connection was
+        made. Whatever else is open is read and answered; each connection ends with its answer.
+        """
+        self._close_quiet(self.idle, self.loop.now())
+        self._close_quiet(self.silent, self.loop.now() - SPEAKS)
+        return self.listener is None or (self.listener.finish() and not self.listener.open)
 
     def client(self, stream: Stream) -> None:
         inlet, waits = Inlet(self.loop, stream, self.bounds), self.silent
-        while not self.leaving:
-            waits[stream] = self.loop.now()
+        while True:
+            waits[stream] = Waits(self.loop.now(), inlet, self.loop.current())
             try:
                 request = inlet.next()
             except BadMessage as trouble:
@@ -136,13 +173,14 @@
         self.number += 1
         self.speech.took(held)
         try:
-            full = len(self.host.held) >= self.orders.most_open or not self.ledger.takes_new()
+            full = self.ending or len(self.host.held) >= self.orders.most_open or not self.ledger.takes_new()
             barred = not self._govern(held, request)
             if full or barred or held.until <= now:
                 held.stay_away = self.governed.stay_away() if self.governed and barred else charter.longest_stay_away
                 held.close("denied")
             else:
                 self.ledger.taken += 1
+                held.here = lambda: self._here(inlet, request)
                 self.host.take(held, asked.product, asked.tenant, asked.key, asked.again, age)
                 if not self._await(inlet, held):
                     return False
@@ -160,6 +198,15 @@
             request.headers = [*others, (POLICY, b"%d" % held.policy)]
         return held.policy is not None
 
+    def _here(self, inlet: Inlet, request: Request) -> bool:
+        """Whether the client still waits, as far as its connection tells."""
+        if request.flow is not None:
+            return True  # whoever reads the body on finds out
+        try:
+            return inlet.look() or not self.speech.eof_leaves  # one that closes its side may still read
+        except OSError:
+            return False
+
     def _await(self, inlet: Inlet, held: Held) -> bool:
         """Wait for the final answer; False when the client is gone."""
         # Time is left to keep and to write it.
@@ -169,25 +216,27 @@
             try:
                 # The relay reads a large body; whether the client is there shows in that.
                 armed = held.request.flow is None and inlet.arm(waiter)
+                ahead = held.request.flow is None and not armed and not inlet.half_closed
+                left = forced_at - loop.now()
                 try:
-                    loop.park(waiter, "a final answer", max(0.0, forced_at - loop.now()))
+                    loop.park(waiter, "a final answer", max(0.0, min(left, AHEAD_LOOK) if ahead else left))
                 finally:
                     if armed:
                         inlet.stream.disarm(waiter)
-                if not held.closed:
-                    here = inlet.look()  # a client that closes its side may still read; one that resets is gone
-                    if not (here or held.closed) and self.speech.eof_leaves:
-                        raise BrokenPipeError("the client has left")
+                if not (held.closed or self._here(inlet, held.request)):
+                    self.host.client_left(held)
             except TimedOut:
+                if loop.now() < forced_at:
+                    if not self._here(inlet, held.request):
+                        self.host.client_left(held)
+                    continue
                 # The module owed an answer by `until`. Guards against a fault in it, and against a pause of
                 # this process that ate the time: whatever may have run, nothing is promised.
                 if held.close("errored"):
                     self.log.error("answer_forced", transaction=held.number)
             except OSError:
                 self.host.client_left(held)
-                self.host.counts["left"] += 1
-                return False
-        return True
+        return held.verdict != "left"
 
     def _answer(self, stream: Stream, request: Request, held: Held, product: int) -> bool:
         now = self.loop.now()
@@ -233,7 +282,7 @@
         finally:
             self.ledger.answered(held, whole)
             self.host.forget_if_over(held)
-        if not keep and request.flow is not None:
+        if not keep and (request.flow is not None or stream.readable()):
             stream.half_close()
             self._drain(stream)
         return keep
--- a/stepsail/umpire/host.py
+++ b/stepsail/umpire/host.py
@@ -34,7 +34,7 @@
 class Held:
     """A transaction that this umpire has taken and not answered: the door's side of the module's handle."""
 
-    __slots__ = ("answer", "client_until", "closed", "handle", "number", "policy", "relays", "out", "request",
+    __slots__ = ("answer", "client_until", "closed", "handle", "here", "number", "policy", "relays", "out", "request",
                  "stay_away", "until", "story", "streams", "verdict", "waiter")
 
     def __init__(self, number: int, request: Request, until: float, client_until: float) -> None:
@@ -48,6 +48,7 @@
         self.out = 0  # relays that have not ended
         self.streams = -1  # the relay whose answer is being passed on as it comes
         self.waiter: Waiter | None = None
+        self.here: Callable[[], bool] = lambda: True  # whether the client still is, by a look at its connection
         self.policy: int | None = None  # the number of the one by which it was taken, where there are policies
 
     def close(self, verdict: str, answer: Response | None = None) -> bool:
@@ -95,6 +96,7 @@
         self.timers, self.taken, self.faults = 0, 0, 0
         self.last_note = ""
         self.counts = {"handled": 0, "denied": 0, "errored": 0, "left": 0}
+        self.over: Callable[[Held], object] = lambda held: None  # told when nothing of a transaction is open any more
 
     def start(self, make: MakeUmpire, doers: Doers, seed: int) -> None:
         self.doers = doers
@@ -142,13 +144,16 @@
         self.forget_if_over(held)
 
     def client_left(self, held: Held) -> None:
-        if held.close("left") and held.handle is not None:
-            self.tell(held.handle.client_left)
+        if held.close("left"):
+            self.counts["left"] += 1
+            if held.handle is not None:
+                self.tell(held.handle.client_left)
         self.forget_if_over(held)
 
     def forget_if_over(self, held: Held) -> None:
-        if held.closed and not held.out:
-            self.held.pop(held.number, None)
+        if held.closed and not held.out and held.number in self.held:
+            del self.held[held.number]
+            self.over(held)
 
     # -- what the module asks for ------------------------------------------------------------------------
 
--- a/stepsail/umpire/life.py
+++ b/stepsail/umpire/life.py
@@ -123,10 +123,11 @@
         self.log.info("ready", listen="{}:{}".format(*self.orders.listen), servers=len(self.roster.lines))
 
     def _leave(self, tasks: list[Task]) -> int:
+        told_at = self.loop.now()
         self.log.info("leaving", held=len(self.host.held))
         self.door.leave()
         self.fellows.leave()
-        in_time = self.answer_held()
+        in_time = self.answer_held(told_at)
         self.governed.leave()
         for task in tasks:
             task.cancel()
--- a/stepsail/umpire/nodes.py
+++ b/stepsail/umpire/nodes.py
@@ -138,6 +138,8 @@
             # The last look before the first byte: the client may have left, or another copy have answered,
             # or this process have stood still, or the server be told to drain, while the connection was made.
             now = self.loop.now()
+            if not held.closed and not held.here():
+                self.host.client_left(held)  # its close lay unread: no attempt begins for one that has gone
             if held.closed or now >= min(until, holds_until) or self.wire.place(node.address)[1] != mark:
                 self._put_back(node, outlet)
                 return Close.NOT_BEGUN, None
--- a/stepsail/umpire/serving.py
+++ b/stepsail/umpire/serving.py
@@ -10,6 +10,7 @@
 from stepsail.umpire.nodes import Nodes
 
 LOOK = 0.02  # s between looks whether all that was held is answered
+LAST = 0.1  # s before the end of the time to leave, in which what is still held gets its final answer
 
 
 class Serving:
@@ -31,13 +32,26 @@
     def let_go(self, server: ServerHandle) -> None:
         self.nodes.let_go(server)
 
-    def answer_held(self) -> bool:
-        """Wait until all that is held is answered and every client gone; whether that was in time."""
-        open_streams = self.door.listener.open if self.door.listener else {}
-        with self.loop.timeout(self.orders.leave_within) as scope:
-            while open_streams or any(not h.closed for h in self.host.held.values()):
-                self.loop.sleep(LOOK)
-        return not scope.expired
+    def answer_held(self, told_at: float) -> bool:
+        """Wait until all that is held is answered and every client gone; whether that was in time, counted from when
+        this umpire was told to stop. What still waits at its end gets its final answer before: whatever may have run,
+        nothing is promised, but nobody is left without a word."""
+        until = told_at + self.orders.leave_within
+        if self._over(until - LAST):
+            return True
+        self.door.ending = True
+        for held in [h for h in self.host.held.values() if h.close("errored")]:
+            self.log.warning("answer_forced", transaction=held.number)
+        self._over(until)
+        return False
+
+    def _over(self, until: float) -> bool:
+        """Whether nothing is owed any more, at the latest at a time."""
+        while not self.door.part() or any(not h.closed for h in self.host.held.values()):
+            if self.loop.now() >= until:
+                return False
+            self.loop.sleep(LOOK)
+        return True
 
     def tell_left(self) -> None:
         left = sum(not h.closed for h in self.host.held.values())
--- /dev/null
+++ b/tests/endings/test_leaving.py
@@ -0,0 +1,237 @@
+"""A stop (SIGTERM) for the instants in which a request is taken and not yet read: on real sockets, forced.
+
+The instants are held open by doing several things in one turn of the loop, in which the umpire's tasks cannot run:
+what a client writes then lies in the system's buffers, or its connection in the backlog, when the stop comes.
+"""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import subprocess
+import time
+import tomllib
+from pathlib import Path
+
+import pytest
+from posted import SETTINGS, written
+from rig import Rig, answers, hangs
+from stage import Stage, read_all, request
+
+from stepsail.http.reader import Reader
+from stepsail.loop import Stream
+from stepsail.platform.life import STILL_COMING
+from stepsail.standins.rehearsal import free_address
+from stepsail.umpire.door import Door
+
+
+def plain(stage: Stage) -> socket.socket:
+    """A client outside the loop: the system takes its connection and its bytes, whatever the umpire does."""
+    return socket.create_connection(stage.listen, 1.0)
+
+
+def test_a_request_in_a_connection_that_waits_to_be_accepted_is_answered(tmp_path: Path) -> None:
+    # A close of the listener reset what stood in its backlog.
+    def test(stage: Stage) -> None:
+        stage.life.door.close_soon()
+        waiting = [plain(stage) for _ in range(40)]
+        for at, client in enumerate(waiting):
+            client.sendall(request(f"w{at}"))
+        stage.life.door.leave()
+        assert all(b"200 OK" in read_all(stage.loop, client) for client in waiting)
+        with pytest.raises(ConnectionRefusedError):
+            plain(stage)
+    Stage(tmp_path, test, [answers()])
+
+
+def test_a_request_whose_connections_task_has_not_begun_is_answered(tmp_path: Path,
+                                                                    monkeypatch: pytest.MonkeyPatch) -> None:
+    real, begin = Door.client, list[bool]()
+
+    def later(door: Door, stream: Stream) -> None:
+        while not begin:
+            door.loop.sleep(0.001)
+        real(door, stream)
+
+    def test(stage: Stage) -> None:
+        client = plain(stage)
+        client.sendall(request("n1"))
+        stage.until(lambda: stage.life.door.listener.open)  # type: ignore[union-attr]
+        stage.life.door.leave()
+        begin.append(True)
+        assert b"200 OK" in read_all(stage.loop, client)
+    monkeypatch.setattr(Door, "client", later)
+    Stage(tmp_path, test, [answers()])
+
+
+@pytest.mark.parametrize("earlier", [0, 1])
+def test_a_request_that_lies_unread_on_an_open_connection_is_answered(tmp_path: Path, earlier: int) -> None:
+    def test(stage: Stage) -> None:
+        client, door = plain(stage), stage.life.door
+        for at in range(earlier):
+            client.sendall(request(f"e{at}"))
+            assert b"200 OK" in read_all(stage.loop, client, whole=True)
+        stage.until(lambda: door.idle if earlier else door.silent)
+        client.sendall(request("u1"))
+        door.leave()
+        assert b"200 OK" in read_all(stage.loop, client)
+    Stage(tmp_path, test, [answers()])
+
+
+@pytest.mark.parametrize("earlier", [0, 1])
+def test_a_request_of_which_a_part_is_here_is_read_on_and_answered(tmp_path: Path, earlier: int,
+                                                                   monkeypatch: pytest.MonkeyPatch) -> None:
+    real, fed = Reader.feed, list[bytes]()
+
+    def feed(reader: Reader, data: bytes) -> None:
+        fed.append(data)
+        real(reader, data)
+
+    def test(stage: Stage) -> None:
+        monkeypatch.setattr(Reader, "feed", feed)
+        client, door = plain(stage), stage.life.door
+        for at in range(earlier):
+            client.sendall(request(f"e{at}"))
+            assert b"200 OK" in read_all(stage.loop, client, whole=True)
+        said = request("p1", body=b"{}")
+        client.sendall(said[:30])
+        stage.until(lambda: said[:30] in fed)
+        door.leave()
+        stage.loop.sleep(0.05)
+        client.sendall(said[30:])
+        assert b"200 OK" in read_all(stage.loop, client)
+    Stage(tmp_path, test, [answers()])
+
+
+def test_a_connection_on_which_nothing_is_owed_ends_at_once_and_a_silent_one_soon(tmp_path: Path) -> None:
+    def test(stage: Stage) -> None:
+        quiet, silent = plain(stage), plain(stage)
+        quiet.sendall(request("q1"))
+        read_all(stage.loop, quiet, whole=True)
+        stage.until(lambda: stage.life.door.idle and stage.life.door.silent)
+        start = stage.loop.now()
+        stage.life.stopped.set()
+        assert read_all(stage.loop, quiet) == b"" and stage.loop.now() - start < 0.8
+        assert read_all(stage.loop, silent) == b"" and stage.loop.now() - start < 1.5
+        assert stage.task.join(3.0) == 0
+    Stage(tmp_path, test, [answers()])
+
+
+def test_bytes_behind_the_last_answer_do_not_reset_it(tmp_path: Path) -> None:
+    # A close over unread bytes resets the client, which then loses the answer that it has not read.
+    def test(stage: Stage) -> None:
+        client = plain(stage)
+        stage.life.door.close_soon()
+        client.sendall(request("b1"))
+        stage.until(lambda: stage.boxes[0].seen)
+        client.sendall(b"x" * 70_000)  # beyond what is taken in ahead, so that some lies unread at the close
+        got = read_all(stage.loop, client)
+        assert b"200 OK" in got and got.endswith(b"late")
+    Stage(tmp_path, test, [hangs(0.3)])
+
+
+def test_what_is_still_held_at_the_end_of_the_time_to_leave_gets_its_answer(tmp_path: Path) -> None:
+    # The time after SIGTERM is the longest deadline, counted as 3 s at most: what waits longer was cut off.
+    lanes = [dict(lane, DeadlineMs=9000.0) for lane in SETTINGS["Lanes"]]
+
+    def test(stage: Stage) -> None:
+        held = stage.loop.spawn(stage.ask, "/lookup", "GET", "long", 9000, name="held")
+        stage.until(lambda: stage.boxes[0].seen)
+        start = stage.loop.now()
+        stage.life.stopped.set()
+        answer = held.join(6.0)
+        assert answer.status in (502, 504) and answer.header(b"retry-after") is None
+        assert stage.task.join(1.0) == 3 and 3.0 < stage.loop.now() - start < 3.7
+    Stage(tmp_path, test, [hangs(20.0)], settings=SETTINGS | {"Lanes": lanes})
+
+
+def test_a_second_sigterm_and_one_while_a_new_configuration_is_read_change_nothing(tmp_path: Path) -> None:
+    def test(stage: Stage) -> None:
+        held = stage.loop.spawn(stage.ask, "/lookup", "GET", "held", name="held")
+        stage.until(lambda: stage.boxes[0].seen)
+        (tmp_path / "config.json").write_bytes(b"{")
+        stage.life.move()
+        stage.until(lambda: "settings_not_read" in stage.log.events())
+        stage.life.stopped.set()
+        stage.loop.sleep(0.05)
+        stage.life.stopped.set()
+        assert held.join(3.0).status == 200 and stage.task.join(5.0) == 0
+    Stage(tmp_path, test, [hangs(0.8)])
+
+
+def test_the_daemon_answers_what_is_taken_and_not_read_when_it_is_told_to_stop(tmp_path: Path) -> None:
+    def test(rig: Rig) -> None:
+        idle, fresh = rig.plain(), [rig.plain() for _ in range(5)]
+        idle.sendall(b"GET /look HTTP/1.1\r\nhost: x\r\n\r\n")
+        read_all(rig.loop, idle, whole=True)
+        for client in (idle, *fresh):
+            client.sendall(b"GET /look HTTP/1.1\r\nhost: x\r\n\r\n")
+        rig.daemon.door.leave()
+        assert all(b"200 OK" in read_all(rig.loop, client) for client in (idle, *fresh))
+    Rig(tmp_path, test, [answers()])
+
+
+def test_held_ones_of_the_daemon_get_an_answer_when_its_time_to_leave_is_over(tmp_path: Path) -> None:
+    def test(rig: Rig) -> None:
+        held = rig.loop.spawn(rig.ask, "POST", "/pay", b"{}")
+        rig.loop.sleep(0.05)
+        rig.daemon.stop()
+        assert held.join(2.0).status in (502, 504) and rig.life.join(2.0) == 3
+    Rig(tmp_path, test, [hangs()], "leave-within 300ms")
+
+
+def test_what_the_system_took_while_the_process_stood_still_is_answered_after_sigterm(tmp_path: Path) -> None:
+    # The whole program, stopped between SIGTERM and the end of its listener: its accept loop does not run while
+    # connections and requests come in, and as it goes on the time in which clients still come is over.
+    listen, root = free_address(), Path(__file__).parents[2]
+    environ = written(tmp_path, listen="{}:{}".format(*listen), known={"index": 1, "snapshot": True, "endpoints": []})
+    run = tomllib.loads((root / "deploy/balancer.toml").read_text())["run"]
+    one = subprocess.Popen(["/bin/sh", "-c", run], cwd=root, env={"PATH": "/usr/bin:/bin"} | environ,
+                           stderr=subprocess.PIPE)
+    try:
+        until_ready(listen)
+        idle = socket.create_connection(listen, 1.0)
+        idle.sendall(request("i1"))
+        assert idle.recv(4096).startswith(b"HTTP/1.1 503")
+        one.send_signal(signal.SIGTERM)
+        assert one.stderr
+        while b'"leaving"' not in one.stderr.readline():
+            pass
+        one.send_signal(signal.SIGSTOP)
+        os.waitid(os.P_PID, one.pid, os.WSTOPPED | os.WNOWAIT)
+        clients = [idle, *(socket.create_connection(listen, 1.0) for _ in range(60))]
+        for at, client in enumerate(clients):
+            client.sendall(request(f"s{at}", left=1400))
+        time.sleep(STILL_COMING + 0.1)
+        one.send_signal(signal.SIGCONT)
+        for client in clients:
+            client.settimeout(3.0)
+            # No server is known: each is denied, none is dropped.
+            assert client.recv(4096).startswith(b"HTTP/1.1 503")
+        assert one.wait(10) == 0
+    finally:
+        one.kill()
+        assert one.stderr
+        one.stderr.close()
+
+
+def until_ready(listen: tuple[str, int]) -> None:
+    for _ in range(400):
+        try:
+            with socket.create_connection(listen, 1.0) as sock:
+                sock.sendall(b"GET /_health HTTP/1.1\r\nhost: x\r\n\r\n")
+                if sock.recv(1000).startswith(b"HTTP/1.1 200"):
+                    return
+        except OSError:
+            pass
+        time.sleep(0.025)
+    raise AssertionError("not ready")
+
+
+def test_the_time_to_leave_follows_from_the_settings(tmp_path: Path) -> None:
+    from stepsail.platform.settings import read_post
+    for longest, most in ((800.0, 1.5), (2500.0, 3.2), (20_000.0, 3.7)):
+        lanes = [dict(lane, DeadlineMs=longest) for lane in SETTINGS["Lanes"]]
+        post = read_post(written(tmp_path, settings=SETTINGS | {"Lanes": lanes}), 0.0)
+        assert most - 0.2 <= post.orders.leave_within < most
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -116,3 +117,31 @@
         finally:
             stream.close()
         raise AssertionError("neither answered nor closed in time")
+
+
+def request(mark: str, path: str = "/lookup", left: int = 1400, body: bytes = b"") -> bytes:
+    """A client's request as it goes over the wire."""
+    head = [(b"host", b"x"), (b"x-call-id", mark.encode()), (b"x-budget-ms", b"%d" % left)]
+    if body:
+        head.append((b"idempotency-key", b"k-" + mark.encode()))
+    return encode_request(b"POST" if body else b"GET", (path if not body else "/record").encode(), head, body)
+
+
+def read_all(loop: Loop, client: socket.socket, whole: bool = False, within: float = 3.0) -> bytes:
+    """What comes back on a plain socket, while the loop runs on: until the end, or (`whole`) for one answer. A reset
+    is a failure of the test, as it may have taken an answer with it."""
+    client.setblocking(False)
+    got, end = b"", loop.now() + within
+    while loop.now() < end:
+        try:
+            part = client.recv(1 << 16)
+        except BlockingIOError:
+            loop.sleep(0.002)
+            continue
+        got += part
+        head, there, body = got.partition(b"\r\n\r\n")
+        length = int(head.lower().partition(b"content-length: ")[2].partition(b"\r\n")[0] or 0)
+        if not part or (whole and there and len(body) >= length):
+            client.setblocking(True)
+            return got
+    raise AssertionError(f"neither answered nor closed: {got!r}")
