--- a/stepsail/loop/stream.py
+++ b/stepsail/loop/stream.py
@@ -137,7 +137,8 @@
         self.handle, self.name = handle, name
         while not self.port.closed:
             if len(self.open) >= self.most:
-                if self.make_room and self.make_room():
+                # Nobody is sent away for one that has not come.
+                if self.make_room and self.loop.driver.readable(self.port) and self.make_room():
                     self.loop.pause()  # the one that was closed goes first
                     continue
                 self.room = self.loop.waiter()
--- a/stepsail/umpire/door.py
+++ b/stepsail/umpire/door.py
@@ -15,7 +15,7 @@
 
 POLICY = b"stepsail-policy"  # header: the number of the policy by which a transaction was taken
 NEW = 0.05  # s that a new client has to say something before it may have to make room for another
-PIECES = 1.0  # s that a request may take to arrive before it may have to make room for another
+PIECES = 0.5  # s that a request may take to arrive before it may have to make room for another
 SPEAKS = 0.6  # s on a stop in which a client that has connected says something: then it only holds us up
 AHEAD_LOOK = 0.05  # s between looks whether a client is there that has sent more ahead than is taken in
 LATE = 0.05  # s to write an answer whose client may be gone
--- /dev/null
+++ b/tests/endings/test_clients.py
@@ -0,0 +1,197 @@
+"""Clients that leave, come in pieces or come again, and connections that end by time or for room: forced instants."""
+
+from __future__ import annotations
+
+import socket
+import time
+from pathlib import Path
+
+import pytest
+from rig import Rig, ScriptedBox, answers, hangs, hangs_up
+from stage import Stage, plain, read_all, request
+
+from stepsail.http import Inlet, Outlet, Request
+from stepsail.loop import Stream
+from stepsail.umpire.door import NEW
+from stepsail.umpire.nodes import Node, Nodes
+
+
+def stand_still(stage: Stage, seconds: float) -> None:
+    """The loop does not turn: what is due by time and what comes by the network are then there in one turn."""
+    time.sleep(seconds)
+
+
+def test_no_attempt_begins_for_a_client_whose_close_lies_behind_its_request(tmp_path: Path) -> None:
+    def test(stage: Stage) -> None:
+        client = plain(stage)
+        client.sendall(request("g1"))
+        client.close()
+        stage.until(lambda: stage.life.host.counts["left"])
+        stage.loop.sleep(0.05)
+        assert not stage.boxes[0].seen and not stage.life.host.held
+    Stage(tmp_path, test, [answers()])
+
+
+def test_no_attempt_begins_for_a_client_that_leaves_while_a_connection_is_made(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    # The instant before the first byte: the connection to the server is up, the client closes, no turn between.
+    real, leaving = Nodes._outlet, list[socket.socket]()
+
+    def outlet(nodes: Nodes, node: Node, until: float) -> Outlet | None:
+        found = real(nodes, node, until)
+        while leaving:
+            leaving.pop().close()
+        return found
+
+    def test(stage: Stage) -> None:
+        client = plain(stage)
+        monkeypatch.setattr(Nodes, "_outlet", outlet)
+        leaving.append(client)
+        client.sendall(request("c1"))
+        stage.until(lambda: stage.life.host.counts["left"])
+        stage.loop.sleep(0.05)
+        assert not stage.boxes[0].seen and not stage.life.host.held
+        assert stage.ask(mark="c2").status == 200
+    Stage(tmp_path, test, [answers()])
+
+
+def test_no_further_attempt_begins_for_a_client_that_left_as_the_first_one_broke(tmp_path: Path) -> None:
+    clients = list[socket.socket]()
+
+    def breaks(box: ScriptedBox, stream: Stream, asked: Request, inlet: Inlet) -> bytes | None:
+        clients.pop().close()  # in the turn in which the attempt ends
+        return hangs_up(box, stream, asked, inlet)
+
+    def test(stage: Stage) -> None:
+        client = plain(stage)
+        clients.append(client)
+        client.sendall(request("f1"))
+        stage.until(lambda: stage.life.host.counts["left"])
+        stage.loop.sleep(0.05)
+        assert sum(len(box.seen) for box in stage.boxes) == 1 and not stage.life.host.held
+    Stage(tmp_path, test, [breaks, breaks])
+
+
+def test_a_close_behind_bytes_sent_ahead_is_seen(tmp_path: Path) -> None:
+    def test(stage: Stage) -> None:
+        for ahead in (10, 90_000):  # inside what is taken in ahead, and beyond; more than the window hides the end
+            client, before = plain(stage), stage.life.host.counts["left"]
+            client.sendall(request(f"a{ahead}"))
+            stage.until(lambda: any(b"a%d" % ahead == r.header(b"x-call-id")  # noqa: B023
+                                    for r in stage.boxes[0].seen))
+            client.setblocking(False)
+            client.send(b"x" * ahead)
+            client.shutdown(socket.SHUT_WR)
+            start = stage.loop.now()
+            stage.until(lambda: stage.life.host.counts["left"] == before + 1)  # noqa: B023
+            assert stage.loop.now() - start < 0.3
+            client.close()
+    Stage(tmp_path, test, [hangs(1.0)])
+
+
+def test_a_waiting_client_that_leaves_frees_its_place_at_once(tmp_path: Path) -> None:
+    def test(stage: Stage) -> None:
+        stage.life.host.umpire.window = 0.0  # type: ignore[attr-defined]  # no room: all wait
+        client = plain(stage)
+        client.sendall(request("w1"))
+        stage.until(lambda: stage.life.host.held)
+        client.close()
+        stage.until(lambda: not stage.life.host.held)
+        assert stage.life.host.counts["left"] == 1 and not stage.boxes[0].seen
+    Stage(tmp_path, test, [answers()])
+
+
+def test_an_id_is_not_free_while_an_attempt_of_one_who_left_is_out(tmp_path: Path) -> None:
+    def test(stage: Stage) -> None:
+        client = plain(stage)
+        client.sendall(request("twice", body=b"{}"))
+        stage.until(lambda: stage.boxes[0].seen)
+        client.close()
+        stage.until(lambda: stage.life.host.counts["left"])
+        again = stage.ask("/record", "POST", "twice", body=b"{}", idempotency_key="k-twice")
+        assert again.status == 409 and len(stage.boxes[0].seen) == 1
+        stage.until(lambda: not stage.life.host.held)
+        stage.boxes[0].script = answers(body=b"second")
+        assert stage.ask("/record", "POST", "twice", body=b"{}", idempotency_key="k-twice").body == b"second"
+    Stage(tmp_path, test, [hangs(0.4)])
+
+
+@pytest.mark.parametrize("kind", ["idle", "first", "pieces"])
+def test_a_request_that_came_as_its_time_ran_out_is_answered(tmp_path: Path, kind: str) -> None:
+    # The time-out and the last bytes are found in one turn of the loop; timers run before the look at the ports.
+    def test(stage: Stage) -> None:
+        bounds, client = stage.life.door.bounds, plain(stage)
+        if kind == "idle":
+            client.sendall(request("t0"))
+            assert b"200 OK" in read_all(stage.loop, client, whole=True)
+            stage.until(lambda: stage.life.door.idle)
+        said = request("t1")
+        if kind == "pieces":
+            client.sendall(said[:20])
+        stage.until(lambda: stage.life.door.idle or stage.life.door.silent)
+        stage.loop.sleep(0.02)
+        stand_still(stage, (bounds.idle if kind == "idle" else bounds.first) + 0.05)
+        client.sendall(said[20:] if kind == "pieces" else said)
+        # It may be as old as the standstill, and then it is denied for that: one answer, and not a close.
+        assert read_all(stage.loop, client, whole=True)[:12] in (b"HTTP/1.1 200", b"HTTP/1.1 503")
+    Stage(tmp_path, test, [answers()])
+
+
+def test_an_answer_that_came_as_the_attempts_time_ran_out_is_the_answer(tmp_path: Path) -> None:
+    def test(stage: Stage) -> None:
+        held = stage.loop.spawn(stage.ask, "/lookup", "GET", "r1", 600, name="held")
+        stage.until(lambda: stage.boxes[0].seen)
+        relay = next(iter(stage.life.host.held.values())).relays[0]
+        stage.until(lambda: relay.waiting)
+        # The server's answer is written and the time of the attempt over before the loop turns again.
+        stage.loop.pause()
+        answer = held.join(2.0)
+        assert (answer.status, answer.body) in ((200, b"ok"), (504, answer.body))
+    def script(box: ScriptedBox, stream: Stream, asked: Request, inlet: Inlet) -> bytes | None:
+        box.loop.sleep(0.45)
+        stream.write(answers()(box, stream, asked, inlet) or b"", 1.0)
+        time.sleep(0.14)
+        return b""
+    Stage(tmp_path, test, [script])
+
+
+def test_room_is_made_by_those_alone_of_whom_no_byte_is_here(tmp_path: Path) -> None:
+    def test(stage: Stage) -> None:
+        door, most = stage.life.door, stage.life.orders.door_connections
+        crowd = [plain(stage) for _ in range(most)]
+        stage.until(lambda: len(door.silent) == most)
+        stage.loop.sleep(NEW + 0.01)
+        crowd[0].sendall(request("room0"))  # the longest silent one has spoken, and its bytes lie unread
+        assert door._make_room() and door._make_room()
+        assert b"200 OK" in read_all(stage.loop, crowd[0], whole=True)
+        assert read_all(stage.loop, crowd[1]) == b"" == read_all(stage.loop, crowd[2])
+        for one in crowd:
+            one.close()
+    Stage(tmp_path, test, [answers()], limits={"sockets": 96})
+
+
+def test_where_all_have_sent_a_part_the_slowest_is_refused_and_told_so(tmp_path: Path) -> None:
+    def test(stage: Stage) -> None:
+        door, most = stage.life.door, stage.life.orders.door_connections
+        crowd = [plain(stage) for _ in range(most)]
+        for one in crowd:
+            one.sendall(b"GET /lookup HT")
+        stage.until(lambda: len(door.silent) == most and all(w.inlet.reader.begun for w in door.silent.values()))
+        start = stage.loop.now()
+        assert stage.ask(mark="late").status in (200, 503) and stage.loop.now() - start < 1.0
+        assert b"HTTP/1.1 503" in read_all(stage.loop, crowd[0])
+        for one in crowd:
+            one.close()
+    Stage(tmp_path, test, [answers()], limits={"sockets": 96})
+
+
+def test_the_daemon_begins_no_attempt_for_a_client_that_was_reset(tmp_path: Path) -> None:
+    def test(rig: Rig) -> None:
+        client = rig.plain()
+        client.sendall(b"GET /look HTTP/1.1\r\nhost: x\r\n\r\n")
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        rig.loop.sleep(0.0)
+        client.close()
+        rig.loop.sleep(0.1)
+        assert rig.total() == 0
+    Rig(tmp_path, test, [answers()])
--- a/tests/endings/test_leaving.py
+++ b/tests/endings/test_leaving.py
@@ -17,7 +17,7 @@
 import pytest
 from posted import SETTINGS, written
 from rig import Rig, answers, hangs
-from stage import Stage, read_all, request
+from stage import Stage, plain, read_all, request
 
 from stepsail.http.reader import Reader
 from stepsail.loop import Stream
@@ -26,11 +26,6 @@
 from stepsail.umpire.door import Door
 
 
-def plain(stage: Stage) -> socket.socket:
-    """A client outside the loop: the system takes its connection and its bytes, whatever the umpire does."""
-    return socket.create_connection(stage.listen, 1.0)
-
-
 def test_a_request_in_a_connection_that_waits_to_be_accepted_is_answered(tmp_path: Path) -> None:
     # A close of the listener reset what stood in its backlog.
     def test(stage: Stage) -> None:
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -127,6 +127,11 @@
     return encode_request(b"POST" if body else b"GET", (path if not body else "/record").encode(), head, body)
 
 
+def plain(stage: Stage) -> socket.socket:
+    """A client outside the loop: the system takes its connection and its bytes, whatever the umpire does."""
+    return socket.create_connection(stage.listen, 1.0)
+
+
 def read_all(loop: Loop, client: socket.socket, whole: bool = False, within: float = 3.0) -> bytes:
     """What comes back on a plain socket, while the loop runs on: until the end, or (`whole`) for one answer. A reset
     is a failure of the test, as it may have taken an answer with it."""
