Lists: values in place of lines, order by index, silence ends in time, pushed lists begun again

Cause, each seen by a forced test on real sockets: a watch was cut into lines, so that an indented list ended it (platform/lines.py Lines.next); 3 s of silence and up to 3 s for the next watch, and 3 more for its list, passed the 6 s at which what was missed counts as told, and one that failed waited for the module's next look, up to 5 s; a whole list with an earlier index was taken though a newer one had been heard since it was called for (Discovery._hear); one entry with an unknown status or zone had the whole list refused, its drains too; where lists are pushed nobody began a watch after two failed calls, as the module asks only where lists are asked for (Umpire.watch); a start was ready before its first pushed list; a SIGHUP during the last look at a bad file was lost. Change: platform/values.py decodes values in whatever pieces, one deadline an object; silence 2.5 s and two calls of 1.5 s; lists ordered by index and by when they were called for; entries one by one, what cannot be read gets nothing new; in pushed mode the watch is begun again with pauses under 3 s and a start waits up to 4 s for its first list; calls for lists one at a time; a fault of ours in a watch is told and the list called for again. lines.py is streaming.py now, Lines StreamingResponse.

--- a/stepsail/platform/deployer.py
+++ b/stepsail/platform/deployer.py
@@ -11,7 +11,7 @@
 from stepsail.loop import Loop, Task
 from stepsail.platform import words
 from stepsail.platform.fields import Misfit, number, part, whole
-from stepsail.platform.lines import Lines, call
+from stepsail.platform.streaming import StreamingResponse, call
 from stepsail.umpire.caller import CallFailed
 from stepsail.umpire.host import Host, Log
 from stepsail.umpire.retry import Backoff
@@ -44,7 +44,7 @@
         while True:
             lines = None
             try:
-                lines = Lines(self.loop, self.at, words.EVENTS, FIRST_LINE)
+                lines = StreamingResponse(self.loop, self.at, words.EVENTS, FIRST_LINE)
                 while True:
                     said = lines.next(SILENT)
                     if said:
--- a/stepsail/platform/discovery.py
+++ b/stepsail/platform/discovery.py
@@ -9,16 +9,23 @@
 
 from stepsail.charter.shape import Address, Orders
 from stepsail.interface import Listed
-from stepsail.loop import Loop, Task
+from stepsail.loop import Event, Loop, Task
 from stepsail.platform import words
 from stepsail.platform.fields import Misfit, address, number, part, whole
-from stepsail.platform.lines import Lines, call
+from stepsail.platform.streaming import StreamingResponse, call
 from stepsail.umpire.caller import CallFailed
 from stepsail.umpire.host import Host, Log
-
-FIRST_LINE, SILENT = 3.0, 3.0  # s for a watch to begin; between two of its lines, which come every 2 s
+from stepsail.umpire.retry import Backoff
+
+# What a silent watch misses counts as told 6 s after it fell silent: the way from its last byte to a list in hand,
+# one failed call included, has to end before. It takes 2.5 + 1.5 + 1.5 s.
+SILENT = 2.5  # s without a word after which a watch is broken: a sign of life comes every 2 s
+AGAIN_WITHIN, AGAIN = 1.5, 2  # s until the list of a watch begun in place of a broken one is whole; calls for it
+LIST_WITHIN = 3.0  # s until that of any other watch is whole: many may call at once, and are answered in turn
+PAUSE = 0.3  # s at least from the beginning of one watch to that of the next
 ASK_WITHIN = 2.0  # s for a list that is asked for once
 FORGET = 30.0  # s after which a server that is gone is forgotten; what is told of it late has come by then
+MOST_ZONES = 1000  # names of zones that are kept; an entry with a further one is as one that cannot be read
 
 
 class Entry:
@@ -33,14 +40,18 @@
 
 
 class Discovery:
-    """Hands each list to the module, whole or as changes, in order. A call that fails is told as that."""
+    """Hands each list to the module, whole or as changes, in the order of their index. A call that fails is told as
+    that; where lists are pushed, and so never asked for, the watch is begun again until it stands."""
 
     def __init__(self, loop: Loop, orders: Orders, host: Host, log: Log, at: Address, ahead: float) -> None:
         self.loop, self.orders, self.host, self.log, self.at, self.ahead = loop, orders, host, log, at, ahead
         self.zones = {name: at for at, name in enumerate(orders.zones)}
-        self.index = 0
+        self.index, self.heard = 0, 0  # of the newest list; how many lists have been taken
         self.entries: dict[bytes, Entry] = {}
+        self.first = Event(loop)  # a list that is not of before the start is here
         self.watching: Task | None = None
+        self.asking: Task | None = None
+        self.backoff = Backoff("discovery", orders.seed or 0)
         self.moved: Callable[[bytes], None] = lambda server: None  # its connections are of no use any more
 
     def place(self, server: bytes) -> tuple[Address, object]:
@@ -51,73 +62,123 @@
     def recall(self, known: Any) -> None:
         """The list of before the start, which may be old."""
         if known is not None:
-            self._hear(known, cached=True)
+            self._hear(known, True, self.heard)
 
     def move(self, to: Address) -> None:
         """Discovery has another address: what is watched goes on from there, by version."""
         if to == self.at:
             return
         self.at = to
-        if self.watching and not self.watching.done:
+        if self.watching:
             self.watching.cancel()
-            self.watching = None
-            self.watch()
+        self._begin(AGAIN)
 
     def watch(self) -> None:
         if self.watching is None or self.watching.done:
-            self.watching = self.loop.spawn(self._watch, name="discovery")
+            self._begin(1)
+
+    def _begin(self, calls: int) -> None:
+        self.watching = self.loop.spawn(self._watch, calls, name="discovery")
 
-    def _watch(self) -> None:
+    def _watch(self, calls: int) -> None:
         """Until it fails. One that broke off is begun again at once, from the version it had come to: what is
         missed meanwhile counts as told. Only if that fails too does the module hear of it, and asks when it likes."""
-        stood = True
-        while stood:
-            stood, lines = False, None
-            try:
-                lines = Lines(self.loop, self.at, words.WATCH % self.index, FIRST_LINE)
-                while True:
-                    said = lines.next(SILENT)
-                    if said is not None:
-                        self._hear(said, cached=False)
-                    stood = True
-            except (CallFailed, Misfit) as trouble:
-                self.log.warning("watch_ended", error=str(trouble)[:200], stood=stood)
-            finally:
-                if lines:
-                    lines.close()
+        within = LIST_WITHIN if calls == 1 else AGAIN_WITHIN
+        while calls:
+            calls, began = calls - 1, self.loop.now()
+            if self._watched(within):
+                self.backoff.well()
+                calls, within = AGAIN, AGAIN_WITHIN
+            elif not calls and not self.orders.charter.must_ask:
+                # Guards against a list that is never heard again: nobody asks for one where they are pushed.
+                self.loop.sleep(self.backoff.next())
+                calls = 1
+            self.loop.sleep(max(0.0, PAUSE - (self.loop.now() - began)) if calls else 0.0)
         self.host.tell(self.host.umpire.roster_failed)
 
+    def _watched(self, within: float) -> bool:
+        """One watch until its end; whether it began well."""
+        stood, answer, by, begun = False, None, self.loop.now() + within, self.heard
+        try:
+            answer = StreamingResponse(self.loop, self.at, words.WATCH % self.index, within)
+            while True:
+                said = answer.next(SILENT if stood else max(0.0, by - self.loop.now()))
+                if said is not None:
+                    self._hear(said, False, begun)
+                    begun = self.heard
+                stood = True
+        except (CallFailed, Misfit) as trouble:
+            self.log.warning("watch_ended", error=str(trouble)[:200], stood=stood)
+        except Exception as trouble:  # guards against a fault of ours that would leave the list as it is for ever
+            self.log.error("watch_failed", error=repr(trouble)[:500])
+        finally:
+            if answer:
+                answer.close()
+        return stood
+
     def ask(self) -> None:
-        self.loop.spawn(self._ask, name="discovery asked once")
+        """One call at a time: of a second one nothing is to be had that the first does not bring."""
+        if self.asking is None or self.asking.done:
+            self.asking = self.loop.spawn(self._ask, name="discovery asked once")
 
     def _ask(self) -> None:
+        begun = self.heard
         try:
             answer = call(self.loop, self.at, b"GET", words.MEMBERS, None, ASK_WITHIN)
             if answer.status != 200:
                 raise CallFailed(f"status {answer.status}")
-            self._hear(msgspec.json.decode(answer.body), cached=False)
+            self._hear(msgspec.json.decode(answer.body), False, begun)
         except (CallFailed, Misfit, msgspec.DecodeError) as trouble:
             self.log.warning("list_failed", error=str(trouble)[:200])
             self.host.tell(self.host.umpire.roster_failed)
 
-    def _hear(self, said: Any, cached: bool) -> None:
-        """All of one list, or nothing of it where any part is not as it should be."""
+    def _hear(self, said: Any, cached: bool, begun: int) -> None:
+        """Take one list; `begun` is how many had been taken when it was called for. Raises Misfit for none.
+
+        Guards against an answer that was overtaken: a whole list of before, taken for the newest, puts a draining
+        server up again. One with an earlier index counts only where nothing was heard since it was called for: then
+        discovery counts anew. Changes of before what is known are none: all is called for again.
+        """
         index, full = whole(said, "index"), part(said, "snapshot", bool)
-        lines = [self._entry(line) for line in part(said, "endpoints", list)]
-        if not cached and full is False and index < self.index:
-            return  # older than what is known
+        lines = [entry for line in part(said, "endpoints", list) if (entry := self._entry(line)) is not None]
+        if not cached and index < self.index:
+            if self.heard > begun:
+                return
+            if not full:
+                self.index = 0
+                raise Misfit("changes of before what is known")
+            self.log.warning("list_anew", before=self.index, index=index)
         self.index = index
+        self.heard += 1
         self.host.tell(self._tell, lines, full, cached)
         self._forget()
-
-    def _entry(self, line: Any) -> tuple[bytes, Entry, int, float]:
-        name, zone, state = (part(line, field, str) for field in ("name", "zone", "status"))
-        if zone not in self.zones or state not in words.STATES:
-            raise Misfit(f"zone or status: {zone[:40]!r}, {state[:40]!r}")
-        since = number(line, "since_ms") / 1000.0
-        entry = Entry(address(line.get("address")), self.zones[zone], words.STATES[state],
-                      since - self.ahead if since else 0.0, whole(line, "revision_no", 65535))
-        return name.encode(), entry, whole(line, "group", 65535), number(line, "weight")
+        if not cached:
+            self.first.set()
+
+    def _entry(self, line: Any) -> tuple[bytes, Entry, int, float] | None:
+        """One server; None for what names none. Guards against one entry that cannot be read and takes the drains of
+        all others with it: its server, where it is known, gets nothing new until it is told of again."""
+        name = line.get("name") if isinstance(line, dict) else None
+        if not isinstance(name, str) or not name:
+            self.log.warning("entry_passed_over", entry=str(line)[:200])
+            return None
+        try:
+            zone, state = part(line, "zone", str), part(line, "status", str)
+            if state not in words.STATES:
+                raise Misfit(f"status: {state[:40]!r}")
+            if zone not in self.zones and len(self.zones) >= MOST_ZONES:
+                raise Misfit(f"zone: over {MOST_ZONES} names")
+            since = number(line, "since_ms") / 1000.0
+            to, build = address(line.get("address")), whole(line, "revision_no", 65535)
+            entry = Entry(to, self.zones.setdefault(zone, len(self.zones)), words.STATES[state],
+                          since - self.ahead if since else 0.0, build)
+            return name.encode(), entry, whole(line, "group", 65535), number(line, "weight")
+        except Misfit as trouble:
+            self.log.warning("entry_not_read", server=name[:80], error=str(trouble)[:200])
+            known = self.entries.get(name.encode())
+            if known is None:
+                return None
+            return name.encode(), Entry(known.to, known.zone, Listed.DRAINING, known.since, known.build), 0, 1.0
 
     def _tell(self, lines: list[tuple[bytes, Entry, int, float]], full: bool, cached: bool) -> None:
         listed = {name for name, *_ in lines}
--- a/stepsail/platform/life.py
+++ b/stepsail/platform/life.py
@@ -17,9 +17,10 @@
 from stepsail.umpire.host import Host, Log
 from stepsail.umpire.ledger import NoLedger
 from stepsail.umpire.nodes import Nodes
-from stepsail.umpire.serving import Serving
+from stepsail.umpire.serving import LOOK, Serving
 
 STILL_COMING = 0.6  # s after SIGTERM in which clients still connect
+FIRST_LIST = 4.0  # s for the first list where lists are pushed: nine in ten have 10 s to be ready, also without
 READ_AGAIN, READS = 0.2, 10  # s until a file that could not be read is read again; how often
 
 
@@ -39,6 +40,7 @@
         self.door = Door(loop, orders, self.host, log, NoLedger(), speech)
         self.stopped = Event(loop)
         self.moving: Task | None = None
+        self.reads = 0  # how often a file that cannot be read is still read again
 
     # what the module asks of its host's doers; umpires have no way to speak to each other here
     def vote(self, build: int, stage: int, verdict: Verdict) -> None:
@@ -71,22 +73,33 @@
             self.discovery.watch()
         sweep = self.loop.spawn(self.nodes.sweep, name="sweep", essential=True)
         self.door.open()
+        if not self.orders.charter.must_ask:
+            self._first_list()
         self.door.ready = True
         self.log.info("ready", listen="{}:{}".format(*self.orders.listen), servers=len(self.discovery.entries))
         self.stopped.wait(why="a signal to stop")
         return self._leave(sweep)
 
+    def _first_list(self) -> None:
+        """Guards against a start by the list of before, where what is pushed counts as told from the first moment."""
+        until = self.loop.now() + FIRST_LIST
+        while not self.discovery.first.is_set and not self.stopped.is_set and self.loop.now() < until:
+            self.loop.sleep(LOOK)
+
     def move(self) -> None:
-        """SIGHUP: discovery and the platform may have other addresses."""
+        """SIGHUP: discovery and the platform may have other addresses; nothing else of a new file is taken over. One
+        that comes while a file is read again is about the file as it is by then."""
+        self.reads = READS
         if self.moving is None or self.moving.done:
             self.moving = self.loop.spawn(self._move, name="move")
 
     def _move(self) -> None:
-        for _ in range(READS):
+        while self.reads:
+            self.reads -= 1
             try:
                 post = self.reread()
             except Misfit as trouble:
-                self.log.warning("settings_not_read", error=str(trouble)[:300])
+                self.log.warning("settings_not_read", error=str(trouble)[:300], tries_left=self.reads)
                 self.loop.sleep(READ_AGAIN)
                 continue
             discovery, deployer = post.orders.roster, post.orders.conveyor
--- a/stepsail/platform/lines.py
+++ b/stepsail/platform/streaming.py
@@ -1,14 +1,13 @@
-"""Calls to discovery and the platform: one answer, or one that stays open with a JSON object a line."""
+"""Calls to discovery and the platform: one answer, or one that stays open and brings JSON objects as they come."""
 
 from __future__ import annotations
 
 from typing import Any
 
-import msgspec
-
 from stepsail.charter.shape import Address
 from stepsail.http import BadMessage, Bounds, Outlet, Progress, Response
 from stepsail.loop import Closed, Loop, Stream, TimedOut
+from stepsail.platform.values import SIGN_OF_LIFE, BadValue, Values
 from stepsail.umpire.caller import CONNECT_WITHIN, MOST_ANSWER, CallFailed, encode_call, why
 
 ENDLESS = Bounds(body=1 << 60, hold=0, until_close=False)
@@ -33,19 +32,23 @@
     return Outlet(loop, Stream.connect(loop, to, max(0.0, min(CONNECT_WITHIN, until - loop.now()))), bounds)
 
 
-class Lines:
+class StreamingResponse:
     """An answer that stays open. Nothing more is sent on its connection; whatever cannot be read ends it."""
 
     def __init__(self, loop: Loop, to: Address, target: bytes, within: float) -> None:
         """Wait for its head and first bytes. Raises CallFailed."""
-        self.loop, self.text, until = loop, b"", loop.now() + within
+        self.loop, self.values, until = loop, Values(MOST_ANSWER), loop.now() + within
         self.outlet: Outlet | None = None
         try:
             self.outlet = _connected(loop, to, until, ENDLESS)
             answer = self.outlet.exchange(encode_call(to, b"GET", target, None), until, Progress())
             if answer.status != 200 or answer.flow is None:
                 raise CallFailed(f"status {answer.status}, or an answer that does not stay open")
-            self.flow, self.text = answer.flow, answer.body
+            self.flow = answer.flow
+            self.values.feed(answer.body)
+        except BadValue as trouble:
+            self.close()
+            raise CallFailed(str(trouble)) from None
         except (OSError, TimedOut, Closed, BadMessage) as trouble:
             self.close()
             raise CallFailed(why(trouble)) from None
@@ -54,19 +57,19 @@
             raise
 
     def next(self, within: float) -> Any:
-        """The next object; None for a line that only shows that the other end lives. Raises CallFailed."""
+        """The next object; None for a line that only shows that the other end lives. Raises CallFailed.
+
+        One deadline for the whole of it: guards against an object that dribbles in and passes for life.
+        """
         until = self.loop.now() + within
         try:
-            while b"\n" not in self.text:
-                if len(self.text) > MOST_ANSWER:
-                    raise CallFailed(f"a line of over {MOST_ANSWER} bytes")
+            while (found := self.values.next()) is None:
                 part = self.flow.more(max(0.0, until - self.loop.now()))
                 if not part:
                     raise CallFailed("it has ended")
-                self.text += part
-            line, _, self.text = self.text.partition(b"\n")
-            return msgspec.json.decode(line) if line.strip() else None
-        except (OSError, TimedOut, Closed, BadMessage, msgspec.DecodeError) as trouble:
+                self.values.feed(part)
+            return None if found is SIGN_OF_LIFE else found
+        except (OSError, TimedOut, Closed, BadMessage, BadValue) as trouble:
             raise CallFailed(why(trouble)) from None
 
     def close(self) -> None:
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -79,11 +79,15 @@
         self.discovery = Teller(self.loop, whole)
         self.deployer = Teller(self.loop, {"type": "ROLLOUT", "object": NEWS}, {})
         self.listen = free_address()
+        self.begin()
+        self.until(lambda: self.life.door.ready)
+        self.test(self)
+
+    def begin(self) -> None:
+        """Start an umpire by the configuration as it is now."""
         environ = self.write()
         self.life = Life(self.loop, read_post(environ, 0.0), Umpire, self.log, lambda: read_post(environ, 0.0))
         self.task = self.loop.spawn(self.life.run, name="umpire")
-        self.until(lambda: self.life.door.ready)
-        self.test(self)
 
     def until(self, true: Callable[[], Any]) -> None:
         end = self.loop.now() + 5.0
