--- a/stepsail/platform/deployer.py
+++ b/stepsail/platform/deployer.py
@@ -25,7 +25,7 @@
 
     def __init__(self, loop: Loop, orders: Orders, host: Host, log: Log, at: Address, seed: int) -> None:
         self.loop, self.orders, self.host, self.log, self.at, self.seed = loop, orders, host, log, at, seed
-        self.votes = 0
+        self.votes, self.told = 0, 0  # whose answers are awaited; states told on the connection that stays open
         self.listening: Task | None = None
 
     def listen(self) -> None:
@@ -60,6 +60,7 @@
     def _hear(self, said: Any) -> None:
         kind, told = part(said, "type", str), part(said, "object", dict)
         if kind == words.ROLLOUT:
+            self.told += 1
             self.news(told)
         elif kind == words.SAMPLE:
             product = self._product(told)
@@ -105,11 +106,14 @@
     def _cast(self, said: dict[str, Any]) -> Receipt:
         """What became of a vote; an answer that cannot be read, or does not fit, leaves it open. The answer to one
         that counts is news as well."""
+        before, at = self.told, self.at
         answer = call(self.loop, self.at, b"POST", words.VOTES, said, self.orders.charter.vote_wait)
         try:
             told = msgspec.json.decode(answer.body)
-            if answer.status == 200:
+            if answer.status == 200 and (before, at) == (self.told, self.at):
                 self.news(told)
+            elif answer.status == 200:
+                part(told, "phase", str)  # overtaken by what was told meanwhile: it counted, and is no news any more
             elif answer.status not in words.ERRORS or part(told, "error", str) != words.ERRORS[answer.status]:
                 return Receipt.UNKNOWN
         except (msgspec.DecodeError, Misfit):
