The overtaken vote's test now forces the crossing: it passed without the mend before

Change: the state is told between the answer's arrival and the look at it. Measured: fails on the deployer of before (the build stands on trial again), passes with the mend.

--- a/tests/platform/test_umpire.py
+++ b/tests/platform/test_umpire.py
@@ -16,9 +16,10 @@
 from rig import answers, hangs
 from stage import NEWS, Stage, Teller, entry, says
 
-from stepsail.http import encode_response
+from stepsail.http import Response, encode_response
 from stepsail.interface import Phase, Verdict
 from stepsail.loop import Stream
+from stepsail.platform.streaming import call
 from stepsail.standins.rehearsal import free_address
 
 
@@ -178,7 +179,7 @@
     Stage(tmp_path, test, [answers()])
 
 
-def test_the_answer_to_a_vote_that_was_overtaken_is_no_news(tmp_path: Path) -> None:
+def test_the_answer_to_a_vote_that_was_overtaken_is_no_news(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     # It was written before the build went back, and came after that was told: the build stood on trial again.
     def test(stage: Stage) -> None:
         umpire, deployer = stage.life.host.umpire, stage.life.deployer
@@ -186,10 +187,13 @@
         testing = {"build": 2, "stage": 0, "phase": "testing", "cap": 0.5, "age_ms": 900}
         deployer.news(testing)
         stage.deployer.answer = encode_response(200, [], msgspec.json.encode(testing))
-        vote = stage.loop.spawn(deployer._vote, 2, 0, Verdict.BACK, name="vote")
-        stage.until(lambda: vote.begun)
-        deployer._hear({"type": "ROLLOUT", "object": testing | {"phase": "recalling", "cap": 0.0, "age_ms": 1}})
-        vote.join(3.0)
+
+        def overtaken(*asked: Any) -> Response:
+            answer = call(*asked)  # has been written; what follows is told before it is looked at
+            deployer._hear({"type": "ROLLOUT", "object": testing | {"phase": "recalling", "cap": 0.0, "age_ms": 1}})
+            return answer
+        monkeypatch.setattr("stepsail.platform.deployer.call", overtaken)
+        deployer._vote(2, 0, Verdict.BACK)
         assert umpire.phase is Phase.REVERTING and umpire.cap == 0.0  # type: ignore[attr-defined]
         assert [f["receipt"] for event, f in stage.log if event == "vote_answered"] == ["counted"]
     Stage(tmp_path, test, [answers()])
