Lists are called for as seldom as before: made again sooner, all calls were given up for ever

Discovery answers in turn and goes through calls that were given up; those made again sooner stand behind their own earlier ones. What stays: a start denies until its first list, 6 s at most.

--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -34,7 +34,7 @@
 YOUNG, PATIENT, MOST_START = 3.0, 3.7, 11.7  # s from a start to evidence; to an on; if servers are missing
 RENEW, VOTE_PAUSE, BURST, STAND_BY = 0.7, 0.5, 2.0, 3.0  # of a vote's life; s: recast, at once, others first
 BEAT, LOOK, SLIP = 0.05, 0.2, 0.02  # s between looks at waiting ones; at relays, evidence; kept for safety
-ASK_AGAIN = (0.8, 2.0)  # s; first and longest pause after a failed roster call: all counts as told 6 s on
+ASK_AGAIN = (0.8, 4.0)  # s; first and longest pause after a failed roster call; calls must not pile up
 REST, MOST_SILENT = 0.5, 4  # s of a silent server's first rest, a stall's length; lost relays that double it
 PACE_KEPT, KEPT, OLD_LOAD = 16, 4000, 2.0  # outcomes to a halving; times kept; s until a report is stale
 FEWEST, WINDOW, WIDER, STALL = 4, 4.0, 0.5, 4.0  # servers in use; relays open; growth; usual silence
@@ -539,7 +539,7 @@
         ready = sorted((s for s in self.servers if s.state is Listed.READY), key=lambda s: s.address)
         start = self.place()[0] * len(ready) // self.place()[1]
         self.round, self.ready = self.round + 1, ready[start:] + ready[:start]
-        self.informed, self.asking = self.informed or not cached, self.asking if cached else ASK_AGAIN[0]
+        self.informed |= not cached
 
     def place(self) -> tuple[int, int]:
         return self.told_place or (self.charter.me, max(1, self.charter.umpires))
--- a/stepsail/platform/discovery.py
+++ b/stepsail/platform/discovery.py
@@ -22,7 +22,6 @@
 SILENT = 2.5  # s without a word after which a watch is broken: a sign of life comes every 2 s
 AGAIN_WITHIN, AGAIN = 1.5, 2  # s until the list of a watch begun in place of a broken one is whole; calls for it
 LIST_WITHIN = 3.0  # s until that of any other watch is whole: many may call at once, and are answered in turn
-FIRST_CALLS = 3  # calls in a row for the first list: of many that start at once some are told to go away
 PAUSE = 0.3  # s at least from the beginning of one watch to that of the next
 ASK_WITHIN = 2.0  # s for a list that is asked for once
 FORGET = 30.0  # s after which a server that is gone is forgotten; what is told of it late has come by then
@@ -76,7 +75,7 @@
 
     def watch(self) -> None:
         if self.watching is None or self.watching.done:
-            self._begin(1 if self.first.is_set else FIRST_CALLS, LIST_WITHIN)
+            self._begin(1, LIST_WITHIN)
 
     def _begin(self, calls: int, within: float) -> None:
         self.watching = self.loop.spawn(self._watch, calls, within, name="discovery")
@@ -94,9 +93,7 @@
                 # Guards against a list that is never heard again: nobody asks for one where they are pushed.
                 self.loop.sleep(self.backoff.next())
                 calls = 1
-            if calls and within == LIST_WITHIN:
-                self.loop.sleep(self.backoff.about(max(PAUSE, took)))
-            elif calls:
+            if calls:
                 self.loop.sleep(max(0.0, PAUSE - took))
         self.host.tell(self.host.umpire.roster_failed)
 
--- a/stepsail/umpire/retry.py
+++ b/stepsail/umpire/retry.py
@@ -19,13 +19,7 @@
 
     def next(self) -> float:
         """Seconds to wait after a failure."""
-        now, self.pause = self.pause, min(LONGEST, self.pause * 2)
-        return self.about(now)
-
-    def about(self, seconds: float) -> float:
-        """These seconds, less what chance takes off. For the time that a call has waited in vain: guards against a
-        service that answers in turn and goes through calls that were given up, where those made again at once stand
-        behind their own earlier ones and are given up as well, for ever."""
         self.draws += 1
         chance = crc32(b"%s %d.%d" % (self.name.encode(), self.seed, self.draws)) / 2**32
-        return seconds * (1 - SPREAD * chance)
+        now, self.pause = self.pause, min(LONGEST, self.pause * 2)
+        return now * (1 - SPREAD * chance)
