--- a/tests/endings/test_lists.py
+++ b/tests/endings/test_lists.py
@@ -284,3 +284,18 @@
         heard(stage, 5)
         assert "watch_failed" in stage.log.events()
     Stage(tmp_path, test, [answers()])
+
+
+def test_who_has_had_no_list_for_longer_than_counts_as_told_sends_nothing_by_the_old_one(tmp_path: Path) -> None:
+    # Discovery is there and has no time: what it had counts as told 6 s later, whether it could be heard or not.
+    def test(stage: Stage) -> None:
+        heard(stage, 2)
+
+        def busy(stream: Stream) -> None:
+            stream.write(encode_response(503, [], b""), 1.0)
+        fickle = Fickle(stage, busy)
+        stage.life.discovery.move(fickle.listener.address)
+        stage.until(lambda: fickle.at)
+        stage.loop.sleep(fickle.at[0] + TOLD + 0.6 - stage.loop.now())
+        assert stage.ask(left=300).status == 503 and not stage.boxes[0].seen
+    Stage(tmp_path, test, [answers()])
