A watch that ended is called for once and waits in turn; only silence is met with short calls

Only a watch that fell silent has used up the time until what it misses counts as told. Change: Discovery._watch makes the two short calls after silence alone.

--- a/stepsail/platform/discovery.py
+++ b/stepsail/platform/discovery.py
@@ -51,6 +51,7 @@
         self.first = Event(loop)  # a list that is not of before the start is here
         self.watching: Task | None = None
         self.asking: Task | None = None
+        self.silent = False  # whether the last watch ended as nothing was heard on it
         self.backoff = Backoff("discovery", orders.seed or 0)
         self.moved: Callable[[bytes], None] = lambda server: None  # its connections are of no use any more
 
@@ -88,7 +89,8 @@
             stood, took = self._watched(within), self.loop.now() - began
             if stood:
                 self.backoff.well()
-                calls, within = AGAIN, AGAIN_WITHIN
+                # One that ended has cost no time: its call may wait in turn, and is not given up for another one.
+                calls, within = (AGAIN, AGAIN_WITHIN) if self.silent else (1, LIST_WITHIN)
             elif not calls and not self.orders.charter.must_ask:
                 # Guards against a list that is never heard again: nobody asks for one where they are pushed.
                 self.loop.sleep(self.backoff.next())
@@ -100,6 +102,7 @@
     def _watched(self, within: float) -> bool:
         """One watch until its end; whether it began well."""
         stood, answer, by, begun = False, None, self.loop.now() + within, self.heard
+        since = self.loop.now()
         try:
             answer = StreamingResponse(self.loop, self.at, words.WATCH % self.index, within)
             while True:
@@ -107,7 +110,7 @@
                 if said is not None:
                     self._hear(said, False, begun)
                     begun = self.heard
-                stood = True
+                stood, since = True, self.loop.now()
         except (CallFailed, Misfit) as trouble:
             self.log.warning("watch_ended", error=str(trouble)[:200], stood=stood)
         except Exception as trouble:  # guards against a fault of ours that would leave the list as it is for ever
@@ -115,6 +118,7 @@
         finally:
             if answer:
                 answer.close()
+        self.silent = self.loop.now() >= since + SILENT
         return stood
 
     def ask(self) -> None:
