Logs: request ids, calls to discovery, and a reason for every refusal, close and failed attempt

Change: Refusal and ConnectionClose name the reasons; lines about single requests carry the client's id and have a budget of their own, so that they never push out those about the state; complete counts by reason every 5 s ('tallies'); lines 'watch_stands', 'watch_ended', 'list_taken' with index, ages and the servers that are not ready. No decision changed.

--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -13,7 +13,19 @@
 from math import ceil, exp, inf, log, sqrt
 from zlib import crc32
 
-from stepsail.interface import Charter, Control, Group, Host, Listed, Outcome, Phase, Receipt, Repeat, Verdict
+from stepsail.interface import (
+    Charter,
+    Control,
+    Group,
+    Host,
+    Listed,
+    Outcome,
+    Phase,
+    Receipt,
+    Refusal,
+    Repeat,
+    Verdict,
+)
 
 EDGES = (0.02, 0.03, 0.045, 0.065, 0.09, 0.13, 0.18, 0.25, 0.35, 0.5, 0.75, 0.999)  # of abandon time: x1.4
 FAILED = len(EDGES) - 1  # the edge that only failed relays pass
@@ -241,6 +253,7 @@
 
 class Transaction:
     flows: Sequence[Flow] = ()  # so in a captured state from before they were kept
+    refusal: Refusal | None = None
 
     def __init__(self, umpire: Umpire, number: int, product: int, tenant: int, until: float, key: int,
                  again: bool, age: float) -> None:
@@ -267,7 +280,8 @@
         same = {Group.ALL: True, Group.ZONE: server.zone == first.zone, Group.CELL: server.cell == first.cell}
         return same[self.product.group] and self.umpire.host.clock < first.at + self.product.window - SLIP
 
-    def close(self) -> None:
+    def close(self, refusal: Refusal) -> None:
+        self.refusal = refusal
         self.closed, kind = True, (self.product.repeat, self.product.group)
         if kind[0] is Repeat.REDOABLE or kind == (Repeat.LABELLED, Group.ALL) or not self.may_have_run():
             return self.umpire.host.deny(self, self.umpire.charter.longest_stay_away)
@@ -278,11 +292,16 @@
         # WAIT, whatever is usual: guards against a product that was slow for a while being denied for good.
         spare = self.product.target - SPARE * self.usual.mean()
         spare = self.product.target if self.relays else max(spare, WAIT * self.product.target)
-        hopeless = now > self.taken + spare and not (self.relays and self.product.late_share)
-        if (hopeless or now >= self.until - BEAT - SLIP or len(self.relays) >= umpire.charter.most_relays
-                or not any(self.may_go(s) for s in umpire.servers)
-                or (self.stuck and not umpire.tries(self))):
-            return self.close()
+        if now > self.taken + spare and not (self.relays and self.product.late_share):
+            return self.close(Refusal.TOO_LATE)
+        if now >= self.until - BEAT - SLIP:
+            return self.close(Refusal.DEADLINE)
+        if len(self.relays) >= umpire.charter.most_relays:
+            return self.close(Refusal.ATTEMPTS_USED)
+        if not any(self.may_go(s) for s in umpire.servers):
+            return self.close(Refusal.NO_SERVER)
+        if self.stuck and not umpire.tries(self):
+            return self.close(Refusal.CLASS_STUCK)
         server = umpire.choose(self) if umpire.has_room(self.luck) else None
         umpire.rouse(LOOK if server else BEAT)
         if server is None:
--- a/stepsail/capture/seam.py
+++ b/stepsail/capture/seam.py
@@ -19,6 +19,7 @@
     Outcome,
     Phase,
     Receipt,
+    Refusal,
     ServerHandle,
     TransactionHandle,
     UmpireHandle,
@@ -81,6 +82,10 @@
     def __init__(self, recorder: Recorder, real: TransactionHandle) -> None:
         self.recorder, self.real, self.number = recorder, real, real.number
 
+    @property
+    def refusal(self) -> Refusal | None:
+        return self.real.refusal
+
     def finished(self) -> bool:
         return self.real.finished()
 
--- a/stepsail/interface.py
+++ b/stepsail/interface.py
@@ -25,6 +25,21 @@
     UNSENT = 7
 
 
+class Refusal(Enum):
+    """Why a request is given up without an answer of a server's."""
+
+    TOO_LATE = "too little of its latency objective is left"
+    DEADLINE = "its deadline is near"
+    ATTEMPTS_USED = "it has had as many attempts as the limits allow"
+    NO_SERVER = "no server may take it"
+    CLASS_STUCK = "its class is late wherever it goes, and enough of it are being tried"
+    NOT_READY = "this instance has not begun to serve"
+    STOPPING = "this instance is about to stop"
+    FULL = "as many requests are open as the limits allow"
+    NO_POLICY = "no policy is in force to take it by"
+    NOT_KEPT = "the audit trail takes nothing new"
+
+
 class Listed(IntEnum):
     """What the roster says of a server."""
 
@@ -159,6 +174,11 @@
 
     number: int
 
+    @property
+    def refusal(self) -> Refusal | None:
+        """Why it was given up, once it was."""
+        ...
+
     def finished(self) -> bool: ...
 
     def relay_ended(self, relay: int, outcome: Outcome, final: bool, took: float,
--- a/stepsail/platform/__main__.py
+++ b/stepsail/platform/__main__.py
@@ -16,7 +16,7 @@
 from stepsail.loop import Loop, PollDriver
 from stepsail.platform.fields import Misfit
 from stepsail.platform.life import Life
-from stepsail.platform.logs import Lines
+from stepsail.platform.logs import JsonLog
 from stepsail.platform.settings import Post, read_post
 
 YOUNGEST = 20_000  # objects between two looks of the collector at the youngest
@@ -24,7 +24,7 @@
 
 def main() -> int:
     driver = PollDriver()
-    log = Lines(driver.now)
+    log = JsonLog(driver.now)
 
     def read() -> Post:
         return read_post(os.environ, time.time() - driver.now())
--- a/stepsail/platform/discovery.py
+++ b/stepsail/platform/discovery.py
@@ -25,6 +25,7 @@
 PAUSE = 0.3  # s at least from the beginning of one watch to that of the next
 ASK_WITHIN = 2.0  # s for a list that is asked for once
 FORGET = 30.0  # s after which a server that is gone is forgotten; what is told of it late has come by then
+LOGGED_NAMES = 12  # names of servers that one log line holds
 MOST_ZONES = 1000  # names of zones that are kept; an entry with a further one is as one that cannot be read
 
 
@@ -102,7 +103,8 @@
     def _watched(self, within: float) -> bool:
         """One watch until its end; whether it began well."""
         stood, answer, by, begun = False, None, self.loop.now() + within, self.heard
-        since = self.loop.now()
+        called_at = since = self.loop.now()
+        called_with = self.index
         try:
             answer = StreamingResponse(self.loop, self.at, words.WATCH % self.index, within)
             while True:
@@ -110,9 +112,13 @@
                 if said is not None:
                     self._hear(said, False, begun)
                     begun = self.heard
+                if not stood:
+                    self.log.info("watch_stands", called_with=called_with, took=round(self.loop.now() - called_at, 3))
                 stood, since = True, self.loop.now()
         except (CallFailed, Misfit) as trouble:
-            self.log.warning("watch_ended", error=str(trouble)[:200], stood=stood)
+            now = self.loop.now()
+            self.log.warning("watch_ended", error=str(trouble)[:200], stood=stood, lasted=round(now - called_at, 3),
+                             last_heard=round(now - since, 3), index=self.index)
         except Exception as trouble:  # guards against a fault of ours that would leave the list as it is for ever
             self.log.error("watch_failed", error=repr(trouble)[:500])
         finally:
@@ -127,14 +133,14 @@
             self.asking = self.loop.spawn(self._ask, name="discovery asked once")
 
     def _ask(self) -> None:
-        begun = self.heard
+        begun, called_at = self.heard, self.loop.now()
         try:
             answer = call(self.loop, self.at, b"GET", words.MEMBERS, None, ASK_WITHIN)
             if answer.status != 200:
                 raise CallFailed(f"status {answer.status}")
             self._hear(msgspec.json.decode(answer.body), False, begun)
         except (CallFailed, Misfit, msgspec.DecodeError) as trouble:
-            self.log.warning("list_failed", error=str(trouble)[:200])
+            self.log.warning("list_failed", error=str(trouble)[:200], took=round(self.loop.now() - called_at, 3))
             self.host.tell(self.host.umpire.roster_failed)
 
     def _hear(self, said: Any, cached: bool, begun: int) -> None:
@@ -153,6 +159,9 @@
                 self.index = 0
                 raise Misfit("changes of before what is known")
             self.log.warning("list_anew", before=self.index, index=index)
+        unavailable = [name.decode() for name, entry, *_ in lines if entry.state is not Listed.READY]
+        self.log.info("list_taken", index=index, before=self.index, whole=full, cached=cached, entries=len(lines),
+                      unavailable=len(unavailable), first=unavailable[:LOGGED_NAMES])
         self.index = index
         self.heard += 1
         self.host.tell(self._tell, lines, full, cached)
--- a/stepsail/platform/door.py
+++ b/stepsail/platform/door.py
@@ -88,7 +88,9 @@
         return told if told is not None and told < len(known) else none
 
     def took(self, held: Held) -> None:
-        self.ids.add(held.request.header(words.ID) or b"")
+        request_id = held.request.header(words.ID) or b""
+        held.request_id = request_id.decode("latin-1")
+        self.ids.add(request_id)
 
     def parted(self, held: Held) -> None:
         """An id is free again once no attempt is out: guards against a second bearer whose request would run beside
--- a/stepsail/platform/life.py
+++ b/stepsail/platform/life.py
@@ -72,6 +72,7 @@
         if not self.orders.charter.must_ask:
             self.discovery.watch()
         sweep = self.loop.spawn(self.nodes.sweep, name="sweep", essential=True)
+        self.loop.spawn(self.report_tallies, name="tallies")
         self.door.open()
         self._first_list()
         self.door.ready = True
--- a/stepsail/platform/logs.py
+++ b/stepsail/platform/logs.py
@@ -1,4 +1,9 @@
-"""A few lines of JSON on standard error; bounded, so that a crowd of troubles costs no time of clients."""
+"""A few lines of JSON on standard error, bounded so that a burst of trouble costs no time of clients.
+
+Two budgets, so that lines about single requests never push out those about the state of the instance: `info`,
+`warning` and `error` share the first, `debug` has the second. What a budget drops is counted, and the count goes out
+with the next line of the same budget.
+"""
 
 from __future__ import annotations
 
@@ -8,35 +13,62 @@
 
 import msgspec
 
-A_SECOND, AT_ONCE = 10.0, 50.0  # lines written on average, and at once
+STATE_LINES_PER_SECOND = 10.0
+STATE_LINES_BURST = 50.0
+REQUEST_LINES_PER_SECOND = 5.0
+REQUEST_LINES_BURST = 25.0
 
 
-class Lines:
-    """Implements the host's Log. What is beyond the bound is counted and told with the next line."""
+class LineBudget:
+    """A token bucket over log lines that counts what it drops."""
 
-    def __init__(self, now: Callable[[], float]) -> None:
-        self.now, self.room, self.at, self.passed_over = now, AT_ONCE, now(), 0
+    def __init__(self, per_second: float, burst: float, now: float) -> None:
+        self.per_second, self.burst = per_second, burst
+        self.tokens, self.filled_at = burst, now
+        self.dropped = 0
+
+    def take(self, now: float, always: bool) -> bool:
+        """Whether a line may be written at `now`; with `always` it may in any case."""
+        self.tokens = min(self.burst, self.tokens + (now - self.filled_at) * self.per_second)
+        self.filled_at = now
+        if self.tokens < 1 and not always:
+            self.dropped += 1
+            return False
+        self.tokens -= 1
+        return True
+
+    def take_dropped(self) -> int:
+        """How many lines were dropped since the last call."""
+        dropped, self.dropped = self.dropped, 0
+        return dropped
 
-    def _line(self, level: str, event: str, fields: dict[str, Any]) -> None:
-        now = self.now()
-        self.room, self.at = min(AT_ONCE, self.room + (now - self.at) * A_SECOND), now
-        if self.room < 1 and level != "error":
-            self.passed_over += 1
-            return
-        self.room -= 1
-        line = {"at": round(now, 3), "level": level, "event": event, **fields}
-        if self.passed_over:
-            line["passed_over"], self.passed_over = self.passed_over, 0
-        sys.stderr.buffer.write(msgspec.json.encode(line, enc_hook=str) + b"\n")
-        sys.stderr.buffer.flush()
 
-    def debug(self, event: str, **fields: Any) -> None: ...
+class JsonLog:
+    """Implements the host's Log."""
+
+    def __init__(self, now: Callable[[], float]) -> None:
+        self.now = now
+        self.state_budget = LineBudget(STATE_LINES_PER_SECOND, STATE_LINES_BURST, now())
+        self.request_budget = LineBudget(REQUEST_LINES_PER_SECOND, REQUEST_LINES_BURST, now())
+
+    def debug(self, event: str, **fields: Any) -> None:
+        self._write(self.request_budget, "debug", event, fields)
 
     def info(self, event: str, **fields: Any) -> None:
-        self._line("info", event, fields)
+        self._write(self.state_budget, "info", event, fields)
 
     def warning(self, event: str, **fields: Any) -> None:
-        self._line("warning", event, fields)
+        self._write(self.state_budget, "warning", event, fields)
 
     def error(self, event: str, **fields: Any) -> None:
-        self._line("error", event, fields)
+        self._write(self.state_budget, "error", event, fields)
+
+    def _write(self, budget: LineBudget, level: str, event: str, fields: dict[str, Any]) -> None:
+        now = self.now()
+        if not budget.take(now, always=level == "error"):
+            return
+        line = {"at": round(now, 3), "level": level, "event": event, **fields}
+        if budget.dropped:
+            line["dropped"] = budget.take_dropped()
+        sys.stderr.buffer.write(msgspec.json.encode(line, enc_hook=str) + b"\n")
+        sys.stderr.buffer.flush()
--- a/stepsail/umpire/door.py
+++ b/stepsail/umpire/door.py
@@ -8,10 +8,12 @@
 from stepsail.charter import Orders
 from stepsail.http import BadMessage, Bounds, Inlet, Request, Response, encode_response
 from stepsail.http.message import chunk, encode_response_start
+from stepsail.interface import Refusal
 from stepsail.loop import Closed, Listener, Loop, Stream, Task, TimedOut
 from stepsail.umpire.host import Held, Host, Log
 from stepsail.umpire.ledger import Ledger
 from stepsail.umpire.speech import Asked, Speech
+from stepsail.umpire.tallies import ConnectionClose
 
 POLICY = b"stepsail-policy"  # header: the number of the policy by which a transaction was taken
 NEW = 0.05  # s that a new client has to say something before it may have to make room for another
@@ -69,21 +71,22 @@
         one is left. Could harm a slow client in a crowd of new ones."""
         now = self.loop.now()
         for found, least in ((self.silent, NEW), (self.idle, self.orders.spare_idle)):
-            if self._close_quiet(found, now - least, most=1):
+            if self._close_quiet(found, now - least, ConnectionClose.MADE_ROOM, most=1):
                 return True
         slow = next((w for w in self.silent.values() if w.inlet.reader.begun), None)
         if slow and slow.since <= now - PIECES and slow.task.waiting:
             slow.task.waiting.throw(BadMessage(503, "no room to wait for the rest: trying again is harmless"))
         return False
 
-    @staticmethod
-    def _close_quiet(found: dict[Stream, Waits], until: float, most: int = 1 << 30) -> int:
+    def _close_quiet(self, found: dict[Stream, Waits], until: float, reason: ConnectionClose,
+                     most: int = 1 << 30) -> int:
         """Close connections that wait since before a time and of which not one byte is here; how many."""
         closed = 0
         for stream, waits in tuple(found.items()):
             if waits.since > until or closed >= most:
                 break
             if waits.inlet.quiet():
+                self._count_close(reason)
                 stream.close()
                 del found[stream]
                 closed += 1
@@ -104,11 +107,25 @@
         Nothing is owed where no byte of a request is here, between two requests or some time after the connection was
         made. Whatever else is open is read and answered; each connection ends with its answer.
         """
-        self._close_quiet(self.idle, self.loop.now())
-        self._close_quiet(self.silent, self.loop.now() - SPEAKS)
+        self._close_quiet(self.idle, self.loop.now(), ConnectionClose.STOPPING)
+        self._close_quiet(self.silent, self.loop.now() - SPEAKS, ConnectionClose.STOPPING)
         return self.listener is None or (self.listener.finish() and not self.listener.open)
 
+    def _count_close(self, reason: ConnectionClose) -> None:
+        self.host.tallies.closes[reason.name.lower()] += 1
+
     def client(self, stream: Stream) -> None:
+        """Serve one client's connection until it ends."""
+        try:
+            self._count_close(self._requests(stream))
+        except Closed:  # ended by whoever made room or stops, and counted there
+            raise
+        except OSError:
+            self._count_close(ConnectionClose.BROKEN)
+            raise
+
+    def _requests(self, stream: Stream) -> ConnectionClose:
+        """Read and answer one request after another; why the connection ends."""
         inlet, waits = Inlet(self.loop, stream, self.bounds), self.silent
         while True:
             waits[stream] = Waits(self.loop.now(), inlet, self.loop.current())
@@ -119,13 +136,15 @@
                     stream.write(self._encode(self.speech.bad(trouble.status, str(trouble)), None, False), 1.0)
                     stream.half_close()
                     self._drain(stream)
-                return
+                self.log.debug("bad_request", status=trouble.status, reason=str(trouble)[:200])
+                return ConnectionClose.BAD_REQUEST
             finally:
                 waits.pop(stream, None)
             if request is None:
-                return
-            if not self._serve(inlet, stream, request):
-                return
+                return ConnectionClose.FINISHED
+            ended = self._serve(inlet, stream, request)
+            if ended:
+                return ended
             waits = self.idle
 
     def _drain(self, stream: Stream) -> None:
@@ -138,11 +157,12 @@
         except OSError:
             pass
 
-    def _serve(self, inlet: Inlet, stream: Stream, request: Request) -> bool:
-        """Answer one request; whether the connection goes on."""
+    def _serve(self, inlet: Inlet, stream: Stream, request: Request) -> ConnectionClose | None:
+        """Answer one request; why the connection ends with it, None where it goes on."""
         asked = self.speech.hears(request, self.ready and not self.leaving)
         if isinstance(asked, Response):
-            return self._refuse(stream, request, asked)
+            keep = self._refuse(stream, request, asked)
+            return None if keep else ConnectionClose.AFTER_ANSWER
         return self._transaction(inlet, stream, request, asked)
 
     def _refuse(self, stream: Stream, request: Request, answer: Response) -> bool:
@@ -159,7 +179,7 @@
         head_only = request is not None and request.method == b"HEAD"
         return encode_response(answer.status, answer.headers, answer.body, keep, head_only)
 
-    def _transaction(self, inlet: Inlet, stream: Stream, request: Request, asked: Asked) -> bool:
+    def _transaction(self, inlet: Inlet, stream: Stream, request: Request, asked: Asked) -> ConnectionClose | None:
         charter, now = self.orders.charter, self.loop.now()
         # Guards against this process's own pauses: a request that lay unread while it stood still is as old
         # as its bytes. Also holds against a full backlog. It never makes a client's time longer.
@@ -167,29 +187,46 @@
         client_until = now + asked.left - age
         if client_until <= now and self.speech.silent_when_late:
             stream.abort()  # nobody waits any more, and nothing was begun
-            return False
+            return ConnectionClose.TOO_LATE
         slack = self.orders.answer_slack + self.orders.trail_commit
         held = Held(self.number, request, client_until - slack, client_until)
         self.number += 1
         self.speech.took(held)
         try:
             # Clients come to one that has just begun as long as nobody has found that it was gone.
-            full = not self.ready or self.ending or len(self.host.held) >= self.orders.most_open
-            full = full or not self.ledger.takes_new()
-            barred = not self._govern(held, request)
-            if full or barred or held.until <= now:
+            refusal = self._refusal(held, request, now)
+            if refusal:
+                barred = refusal is Refusal.NO_POLICY and self.governed is not None
                 held.stay_away = self.governed.stay_away() if self.governed and barred else charter.longest_stay_away
                 held.close("denied")
+                self.host.given_up("request_refused", held, refusal)
             else:
                 self.ledger.taken += 1
                 held.here = lambda: self._here(inlet, request)
                 self.host.take(held, asked.product, asked.tenant, asked.key, asked.again, age)
                 if not self._await(inlet, held):
-                    return False
-            return self._answer(stream, request, held, asked.product)
+                    self.log.debug("client_left", request=held.request_id, attempts=len(held.relays), open=held.out)
+                    return ConnectionClose.CLIENT_LEFT
+            keep = self._answer(stream, request, held, asked.product)
+            return None if keep else ConnectionClose.AFTER_ANSWER
         finally:
             self.speech.parted(held)
 
+    def _refusal(self, held: Held, request: Request, now: float) -> Refusal | None:
+        """Why a request is refused before the decisions hear of it; None where they do."""
+        governed = self._govern(held, request)
+        if not self.ready:
+            return Refusal.NOT_READY
+        if self.ending:
+            return Refusal.STOPPING
+        if len(self.host.held) >= self.orders.most_open:
+            return Refusal.FULL
+        if not self.ledger.takes_new():
+            return Refusal.NOT_KEPT
+        if not governed:
+            return Refusal.NO_POLICY
+        return Refusal.DEADLINE if held.until <= now else None
+
     def _govern(self, held: Held, request: Request) -> bool:
         """Whether there is a policy to take it by; its number goes with it to every far end."""
         if self.governed is None:
@@ -235,7 +272,7 @@
                 # The module owed an answer by `until`. Guards against a fault in it, and against a pause of
                 # this process that ate the time: whatever may have run, nothing is promised.
                 if held.close("errored"):
-                    self.log.error("answer_forced", transaction=held.number)
+                    self.log.error("answer_forced", request=held.request_id)
             except OSError:
                 self.host.client_left(held)
         return held.verdict != "left"
@@ -247,7 +284,7 @@
         late = now >= leaves_by
         if late and self.speech.silent_when_late:
             stream.abort()  # its time is up: nothing is sent after it
-            self.log.warning("answer_too_late", transaction=held.number, late=round(now - held.client_until, 3))
+            self.log.warning("answer_too_late", request=held.request_id, late=round(now - held.client_until, 3))
             return False
         answer = held.answer
         if answer is None:
@@ -257,7 +294,7 @@
             answer.headers = [*(h for h in answer.headers if h[0] != POLICY), (POLICY, b"%d" % held.policy)]
         if not self.ledger.answering(held, product, answer, held.client_until):
             stream.abort()  # no client may hold an answer that the trail lacks
-            self.log.warning("answer_not_kept", transaction=held.number)
+            self.log.warning("answer_not_kept", request=held.request_id)
             self.host.forget_if_over(held)
             return False
         now = self.loop.now()
@@ -276,7 +313,7 @@
             whole = True
         except TimedOut:
             stream.abort()
-            self.log.warning("client_read_too_slowly", transaction=held.number)
+            self.log.warning("client_read_too_slowly", request=held.request_id)
             return False
         except Closed:
             stream.abort()  # the server's answer broke off: a reset tells the client that it is not whole
--- a/stepsail/umpire/host.py
+++ b/stepsail/umpire/host.py
@@ -12,9 +12,10 @@
 
 from stepsail.charter import Orders
 from stepsail.http import Request, Response
-from stepsail.interface import MakeUmpire, Outcome, ServerHandle, TransactionHandle, UmpireHandle, Verdict
+from stepsail.interface import MakeUmpire, Outcome, Refusal, ServerHandle, TransactionHandle, UmpireHandle, Verdict
 from stepsail.loop import Loop, Task, Waiter
 from stepsail.umpire.endings import NEVER_RAN
+from stepsail.umpire.tallies import Tallies
 
 MOST_TIMERS = 100_000  # timers of the module at once; far beyond what it sets
 
@@ -35,10 +36,11 @@
     """A transaction that this umpire has taken and not answered: the door's side of the module's handle."""
 
     __slots__ = ("answer", "client_until", "closed", "handle", "here", "number", "policy", "relays", "out", "request",
-                 "stay_away", "until", "story", "streams", "verdict", "waiter")
+                 "request_id", "stay_away", "until", "story", "streams", "verdict", "waiter")
 
     def __init__(self, number: int, request: Request, until: float, client_until: float) -> None:
         self.number, self.request, self.until, self.client_until = number, request, until, client_until
+        self.request_id = str(number)  # as the client named it, where it did
         self.handle: TransactionHandle | None = None
         self.relays: list[Task] = []
         self.answer: Response | None = None
@@ -96,6 +98,7 @@
         self.timers, self.taken, self.faults = 0, 0, 0
         self.last_note = ""
         self.counts = {"handled": 0, "denied": 0, "errored": 0, "left": 0}
+        self.tallies = Tallies()
         self.over: Callable[[Held], object] = lambda held: None  # told when nothing of a transaction is open any more
 
     def start(self, make: MakeUmpire, doers: Doers, seed: int) -> None:
@@ -138,9 +141,10 @@
             held.close("handled", answer)
         if held.handle is not None:
             self.tell(held.handle.relay_ended, relay, outcome, held.closed, took, report)
-        if self.verbose:
-            self.log.debug("relay_ended", transaction=held.number, relay=relay, outcome=outcome.name.lower(),
-                           took=round(took, 4), may_have_run=outcome not in NEVER_RAN)
+        self.tallies.attempts[outcome.name.lower()] += 1
+        if self.verbose or outcome is not Outcome.HANDLED:
+            self.log.debug("attempt_ended", request=held.request_id, attempt=relay, server=held.story[relay][0],
+                           outcome=outcome.name.lower(), took=round(took, 4), may_have_run=outcome not in NEVER_RAN)
         self.forget_if_over(held)
 
     def stands(self, held: Held, relay: int) -> bool:
@@ -172,7 +176,7 @@
         held.relays.append(self.doers.relay(held, server, until))
         held.story.append((server.address.decode(), "out"))
         if self.verbose:
-            self.log.debug("relay", transaction=held.number, relay=len(held.relays) - 1,
+            self.log.debug("attempt", request=held.request_id, attempt=len(held.relays) - 1,
                            server=server.address.decode(), build=getattr(server, "build", None))
 
     def withdraw(self, transaction: TransactionHandle, relay: int) -> None:
@@ -187,13 +191,19 @@
     def deny(self, transaction: TransactionHandle, stay_away: float) -> None:
         held = self._held(transaction)
         held.stay_away = stay_away
-        if held.close("denied") and self.verbose:
-            self.log.debug("denied", transaction=held.number, stay_away=stay_away)
+        if held.close("denied"):
+            self.given_up("request_refused", held, transaction.refusal)
 
     def error(self, transaction: TransactionHandle) -> None:
         held = self._held(transaction)
-        if held.close("errored") and self.verbose:
-            self.log.debug("errored", transaction=held.number)
+        if held.close("errored"):
+            self.given_up("request_failed", held, transaction.refusal)
+
+    def given_up(self, event: str, held: Held, refusal: Refusal | None) -> None:
+        """Count a request that gets no server's answer, and write down why."""
+        reason = refusal.name.lower() if refusal else "unknown"
+        self.tallies.requests[reason] += 1
+        self.log.debug(event, request=held.request_id, reason=reason, attempts=len(held.relays))
 
     def wake(self, after: float, call: Callable[[], None]) -> None:
         if self.timers >= MOST_TIMERS:
--- a/stepsail/umpire/serving.py
+++ b/stepsail/umpire/serving.py
@@ -10,6 +10,7 @@
 from stepsail.umpire.nodes import Nodes
 
 LOOK = 0.02  # s between looks whether all that was held is answered
+REPORT_EVERY = 5.0  # s between two lines with the counts of requests, attempts and closes
 LAST = 0.1  # s before the end of the time to leave, in which what is still held gets its final answer
 
 
@@ -41,7 +42,7 @@
             return True
         self.door.ending = True
         for held in [h for h in self.host.held.values() if h.close("errored")]:
-            self.log.warning("answer_forced", transaction=held.number)
+            self.log.warning("answer_forced", request=held.request_id)
         self._over(until)
         return False
 
@@ -53,6 +54,17 @@
             self.loop.sleep(LOOK)
         return True
 
+    def report_tallies(self) -> None:
+        """Write the counts of what ended since the last line, for ever."""
+        while True:
+            self.loop.sleep(REPORT_EVERY)
+            self.write_tallies()
+
+    def write_tallies(self) -> None:
+        if counted := self.host.tallies.take():
+            self.log.info("tallies", **counted)
+
     def tell_left(self) -> None:
+        self.write_tallies()
         left = sum(not h.closed for h in self.host.held.values())
         self.log.info("left", taken=self.host.taken, unanswered=left, **self.host.counts)
--- /dev/null
+++ b/tests/platform/test_logs.py
@@ -0,0 +1,52 @@
+"""Log lines are bounded by two budgets, and the counts of what ended are complete."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+from rig import answers
+from stage import Stage
+
+from stepsail.interface import Refusal
+from stepsail.platform.logs import REQUEST_LINES_BURST, JsonLog
+from stepsail.umpire.tallies import ConnectionClose, Tallies
+
+
+def test_lines_about_requests_never_push_out_those_about_the_state(capfdbinary: pytest.CaptureFixture[bytes]) -> None:
+    now = [0.0]
+    log = JsonLog(lambda: now[0])
+    for number in range(100):
+        log.debug("request_refused", request=number)
+    log.warning("watch_ended")
+    now[0] = 1.0
+    log.debug("request_refused", request=100)
+    lines = [json.loads(line) for line in capfdbinary.readouterr().err.splitlines()]
+    assert [line["event"] for line in lines].count("request_refused") == REQUEST_LINES_BURST + 1
+    assert lines[-2] == {"at": 0.0, "level": "warning", "event": "watch_ended"}
+    assert lines[-1]["dropped"] == 100 - REQUEST_LINES_BURST
+
+
+def test_each_refusal_and_close_is_counted_by_its_reason(tmp_path: Path) -> None:
+    def test(stage: Stage) -> None:
+        stage.life.door.ready = False
+        assert stage.ask(mark="early").status == 503
+        stage.life.door.ready = True
+        assert stage.ask(mark="good").status == 200
+        assert stage.said(b"nonsense\r\n\r\n").startswith(b"HTTP/1.1 400")
+        stage.until(lambda: stage.life.host.tallies.closes[ConnectionClose.BAD_REQUEST.name.lower()])
+        counted = stage.life.host.tallies.take()
+        assert counted["requests"] == {Refusal.NOT_READY.name.lower(): 1}
+        assert counted["attempts"] == {"handled": 1}
+        refused = [fields for event, fields in stage.log if event == "request_refused"]
+        assert [(line["request"], line["reason"]) for line in refused] == [("early", "not_ready")]
+        assert not stage.life.host.tallies.take()
+    Stage(tmp_path, test, [answers()])
+
+
+def test_tallies_leave_out_what_did_not_happen() -> None:
+    tallies = Tallies()
+    assert tallies.take() == {}
+    tallies.closes["finished"] += 2
+    assert tallies.take() == {"closes": {"finished": 2}} and tallies.take() == {}
