--- a/stepsail/decisions/call_pacing.py
+++ b/stepsail/decisions/call_pacing.py
@@ -13,9 +13,11 @@
 
 from hashlib import blake2b
 
-WINDOW_PER_INSTANCE = 0.03  # s of the first window for each instance of the fleet
+WINDOW_PER_INSTANCE = 0.06  # s of the first window for each instance of the fleet
 LEAST_WINDOW = 1.0  # s; for small fleets
-LARGEST_GROWTH = 4  # times the first window: a longer one would leave instances without a list after an outage
+GROWTH = 1.5  # of the window with each further failure
+MOST_GROWTHS = 2  # a longer window would leave instances without a list for long after an outage
+START_SPREAD_PER_INSTANCE = 0.01  # s over which the first calls of a fleet that starts at once are spread
 LEAST_PAUSE = 0.2  # s
 
 
@@ -23,7 +25,7 @@
     """Pauses between failed calls of one instance, by seed and counter."""
 
     def __init__(self, name: str, seed: int, fleet_size: int) -> None:
-        self.name, self.seed = name, seed
+        self.name, self.seed, self.fleet_size = name, seed, fleet_size
         self.first_window = max(LEAST_WINDOW, WINDOW_PER_INSTANCE * fleet_size)
         self.failures, self.draws = 0, 0
 
@@ -33,9 +35,15 @@
 
     def next_pause(self) -> float:
         """A call failed; how long to wait before the next one."""
-        window = self.first_window * min(LARGEST_GROWTH, 1 << self.failures)
+        window = self.first_window * GROWTH ** min(MOST_GROWTHS, self.failures)
         self.failures += 1
+        return LEAST_PAUSE + window * self._chance()
+
+    def start_delay(self) -> float:
+        """How long to wait before the first call after a start: most of a fleet may have been started at once."""
+        return self.fleet_size * START_SPREAD_PER_INSTANCE * self._chance()
+
+    def _chance(self) -> float:
         self.draws += 1
         drawn = blake2b(b"%s %d.%d" % (self.name.encode(), self.seed, self.draws), digest_size=8).digest()
-        chance = int.from_bytes(drawn, "big") / 2**64
-        return LEAST_PAUSE + window * chance
+        return int.from_bytes(drawn, "big") / 2**64
--- a/stepsail/platform/discovery.py
+++ b/stepsail/platform/discovery.py
@@ -106,19 +106,20 @@
         self.at = to
         if self.watching:
             self.watching.cancel()
-        self._begin(AGAIN, AGAIN_WITHIN)
+        self._begin(AGAIN, AGAIN_WITHIN, 0.0)
 
     def watch(self) -> None:
         """Hear of changes from now on; nothing happens where that is so already."""
         if self.watching is None or self.watching.done:
-            self._begin(1, LIST_WITHIN)
+            self._begin(1, LIST_WITHIN, 0.0 if self.first.is_set else self.pacing.start_delay())
 
-    def _begin(self, calls: int, within: float) -> None:
-        self.watching = self.loop.spawn(self._watch, calls, within, name="discovery")
+    def _begin(self, calls: int, within: float, delay: float) -> None:
+        self.watching = self.loop.spawn(self._watch, calls, within, delay, name="discovery")
 
-    def _watch(self, calls: int, within: float) -> None:
+    def _watch(self, calls: int, within: float, delay: float) -> None:
         """One watch after the other, for ever. One that ended is called for again at once, from the version it had
         come to; `calls` such calls may fail before the next one waits for its turn in the fleet."""
+        self.loop.sleep(delay)
         while True:
             began = self.loop.now()
             stood = self._watched(within)
