Steps of the wall clock move no slow start; a connect that fails for our own reasons blames no server

Unix time against the loop's clock was read at the start, so that after a step each start told from then on was off by it: an hour back makes a cold server warm. ENETUNREACH, ENETDOWN, ENOMEM, EPERM and EACCES of a connect counted as the server's refusal and rested it. Change: the offset is read as a start is first heard of, which then stays as it is; a start that a confirmed list did not have is at most 5 s older than that; OWN_FAULTS names the errors of this machine. Post no longer holds the offset.

--- a/stepsail/platform/__main__.py
+++ b/stepsail/platform/__main__.py
@@ -9,7 +9,6 @@
 import gc
 import os
 import sys
-import time
 import traceback
 
 from stepsail.balance import Umpire
@@ -27,7 +26,7 @@
     log = JsonLog(driver.now)
 
     def read() -> Post:
-        return read_post(os.environ, time.time() - driver.now())
+        return read_post(os.environ)
     try:
         post = read()
     except Misfit as trouble:
@@ -38,7 +37,7 @@
     gc.set_threshold(YOUNGEST, 20, 20)
     loop = Loop(driver, log.warning)
     try:
-        return int(loop.run(Life(loop, post, Umpire, log, read).run))
+        return int(loop.run(Life(loop, post, Umpire, log, read, lambda: driver.wall() - driver.now()).run))
     except Exception as trouble:
         log.error("failed", error=repr(trouble), trace=traceback.format_exc())
         return 4
--- a/stepsail/platform/discovery.py
+++ b/stepsail/platform/discovery.py
@@ -27,6 +27,7 @@
 PAUSE = 0.3  # s at least from the beginning of one watch to that of the next
 ASK_WITHIN = 2.0  # s for a list that is asked for once
 FORGET = 30.0  # s after which a server that is gone is forgotten; what is told of it late has come by then
+LISTED_WITHIN = 5.0  # s from a server's start to its first listing, at most
 LOGGED_NAMES = 12  # names of servers that one log line holds
 MOST_ZONES = 1000  # names of zones that are kept; an entry with a further one is as one that cannot be read
 
@@ -34,10 +35,11 @@
 class Entry:
     """One server as it was last listed."""
 
-    __slots__ = ("build", "gone_at", "key", "since", "state", "to", "zone")
+    __slots__ = ("build", "gone_at", "key", "since", "state", "to", "unix_start", "zone")
 
-    def __init__(self, to: Address, zone: int, state: Listed, since: float, build: int) -> None:
+    def __init__(self, to: Address, zone: int, state: Listed, since: float, build: int, unix_start: float) -> None:
         self.to, self.zone, self.state, self.since, self.build = to, zone, state, since, build
+        self.unix_start = unix_start  # s, as it is told; `since` is the same on the loop's clock
         self.key = (to, state, since, build)
         self.gone_at = 0.0
 
@@ -61,8 +63,10 @@
     """Hands each list to the module, whole or as changes, in the order of their index, and keeps the lease on it. A
     call that fails is told as that; the watch is begun again until it stands."""
 
-    def __init__(self, loop: Loop, orders: Orders, host: Host, log: Log, at: Address, ahead: float) -> None:
-        self.loop, self.orders, self.host, self.log, self.at, self.ahead = loop, orders, host, log, at, ahead
+    def __init__(self, loop: Loop, orders: Orders, host: Host, log: Log, at: Address,
+                 unix_offset: Callable[[], float]) -> None:
+        self.loop, self.orders, self.host, self.log, self.at = loop, orders, host, log, at
+        self.unix_offset = unix_offset  # s by which Unix time is ahead of the loop's clock now
         self.zones = {name: at for at, name in enumerate(orders.zones)}
         self.index, self.heard = 0, 0  # of the newest list; how many lists have been taken
         self.entries: dict[bytes, Entry] = {}
@@ -246,14 +250,30 @@
             since = number(line, "since_ms") / 1000.0
             to, build = address(line.get("address")), whole(line, "revision_no", 65535)
             entry = Entry(to, self.zones.setdefault(zone, len(self.zones)), words.STATES[state],
-                          since - self.ahead if since else 0.0, build)
+                          self._started_at(name.encode(), since), build, since)
             return name.encode(), entry, whole(line, "group", 65535), number(line, "weight")
         except Misfit as trouble:
             self.log.warning("entry_not_read", server=name[:80], error=str(trouble)[:200])
             known = self.entries.get(name.encode())
             if known is None:
                 return None
-            return name.encode(), Entry(known.to, known.zone, Listed.DRAINING, known.since, known.build), 0, 1.0
+            return name.encode(), Entry(known.to, known.zone, Listed.DRAINING, known.since, known.build,
+                                         known.unix_start), 0, 1.0
+
+    def _started_at(self, name: bytes, unix_start: float) -> float:
+        """When a server started, on the loop's clock; 0 for long ago.
+
+        Fixed at the first hearing of each start, as the wall clock may be stepped at any time. Guards against a step
+        between a start and its listing, which would make a cold server look warm: a start that a confirmed list did
+        not have is not much older than that confirmation.
+        """
+        known = self.entries.get(name)
+        if not unix_start:
+            return 0.0
+        if known is not None and known.unix_start == unix_start:
+            return known.since
+        started = min(unix_start - self.unix_offset(), self.loop.now())
+        return max(started, self.lease.confirmed_at - LISTED_WITHIN)
 
     def _tell(self, lines: list[tuple[bytes, Entry, int, float]], full: bool, cached: bool) -> None:
         listed = {name for name, *_ in lines}
--- a/stepsail/platform/life.py
+++ b/stepsail/platform/life.py
@@ -25,13 +25,15 @@
 
 
 class Life(Serving):
-    """One umpire on one loop. `reread` gives the configuration as it is now, or raises Misfit."""
+    """One umpire on one loop. `reread` gives the configuration as it is now, or raises Misfit; `unix_offset` the
+    seconds by which Unix time is ahead of the loop's clock now, as it may be stepped."""
 
-    def __init__(self, loop: Loop, post: Post, make: MakeUmpire, log: Log, reread: Callable[[], Post]) -> None:
+    def __init__(self, loop: Loop, post: Post, make: MakeUmpire, log: Log, reread: Callable[[], Post],
+                 unix_offset: Callable[[], float]) -> None:
         self.loop, self.post, self.make, self.log, self.reread = loop, post, make, log, reread
         orders = self.orders = post.orders
         self.host = Host(loop, orders, log, False)
-        self.discovery = Discovery(loop, orders, self.host, log, orders.roster, post.ahead)
+        self.discovery = Discovery(loop, orders, self.host, log, orders.roster, unix_offset)
         self.deployer = Deployer(loop, orders, self.host, log, orders.conveyor, orders.seed or 0)
         self.nodes = Nodes(loop, orders, self.host, PlatformWire(orders, self.discovery.place, post.reports))
         self.discovery.moved = self.nodes.let_go_of
--- a/stepsail/platform/settings.py
+++ b/stepsail/platform/settings.py
@@ -35,10 +35,9 @@
     news: Any
     known: Any
     reports: bool
-    ahead: float  # s by which Unix time is ahead of the loop's clock
 
 
-def read_post(environ: Mapping[str, str], ahead: float) -> Post:
+def read_post(environ: Mapping[str, str]) -> Post:
     """From the environment and the file that it names. Raises Misfit with a line that says what is wrong."""
     file = environ.get("PROXY_CONFIG", "")
     if not file:
@@ -50,14 +49,14 @@
     if not isinstance(said, dict):
         raise Misfit(f"{file}: not an object")
     try:
-        return _post(said, environ, ahead)
+        return _post(said, environ)
     except Misfit as trouble:
         raise Misfit(f"{file}: {trouble}") from None
     except (ValueError, KeyError, TypeError) as trouble:
         raise Misfit(f"{file}: settings: {trouble!r}") from None
 
 
-def _post(said: dict[str, Any], environ: Mapping[str, str], ahead: float) -> Post:
+def _post(said: dict[str, Any], environ: Mapping[str, str]) -> Post:
     pairs = pairs_of_object(part(said, "settings", dict))
     found, charter = Settings(pairs), read_charter(pairs)
     if not charter.products or charter.zone >= len(found.words("Zones")):
@@ -84,4 +83,4 @@
         most_links=sockets - door, link_rest=REST, link_life=LIFE * charter.idle_for, first_within=FIRST,
         spare_idle=SPARE_IDLE, ask_within=found.span("Rules.AskWithinMs"))
     return Post(orders, deployer.get("news"), said.get("known"),
-                found.word("Stats.Source") not in ("", "none"), ahead)
+                found.word("Stats.Source") not in ("", "none"))
--- a/stepsail/umpire/nodes.py
+++ b/stepsail/umpire/nodes.py
@@ -15,6 +15,9 @@
 from stepsail.umpire.idle import IdleLife
 from stepsail.umpire.wire import Wire
 
+# Errors of socket and connect that tell of this machine, and blame no server: no descriptors, memory, ports or route.
+OWN_FAULTS = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL,
+                        errno.ENETUNREACH, errno.ENETDOWN, errno.EPERM, errno.EACCES))
 PARTS = 4  # parts of a large answer that may wait for a slow client
 SWEEP = 1.0  # s between looks at idle connections
 PROBE_WITHIN, MOST_PROBES = 0.25, 64  # s; probes at once
@@ -131,9 +134,7 @@
             except TimedOut:
                 return Close.NO_CONNECTION, None
             except OSError as trouble:
-                # Our own want of descriptors or ports is no fault of the server's.
-                ours = trouble.errno in (errno.EMFILE, errno.ENFILE, errno.EADDRNOTAVAIL, errno.ENOBUFS)
-                return Close.NOT_BEGUN if ours else Close.NO_CONNECTION, None
+                return Close.NOT_BEGUN if trouble.errno in OWN_FAULTS else Close.NO_CONNECTION, None
             if outlet is None:
                 return Close.NOT_BEGUN, None
             # The last look before the first byte: the client may have left, or another copy have answered,
--- a/tests/endings/test_leaving.py
+++ b/tests/endings/test_leaving.py
@@ -228,5 +228,5 @@
     from stepsail.platform.settings import read_post
     for longest, most in ((800.0, 1.5), (2500.0, 3.2), (20_000.0, 3.7)):
         lanes = [dict(lane, DeadlineMs=longest) for lane in SETTINGS["Lanes"]]
-        post = read_post(written(tmp_path, settings=SETTINGS | {"Lanes": lanes}), 0.0)
+        post = read_post(written(tmp_path, settings=SETTINGS | {"Lanes": lanes}))
         assert most - 0.2 <= post.orders.leave_within < most
--- /dev/null
+++ b/tests/incidents/test_clocks_and_calls.py
@@ -0,0 +1,79 @@
+"""Steps of the wall clock, and system calls that fail for this machine's own reasons."""
+
+from __future__ import annotations
+
+import errno
+from pathlib import Path
+from typing import Any
+
+import pytest
+from rig import answers
+from stage import Stage, entry
+
+from stepsail.loop import Stream
+from stepsail.platform.discovery import LISTED_WITHIN
+from stepsail.umpire.nodes import OWN_FAULTS
+
+COLD = 0.9  # s, as the stage's settings have it
+HOUR = 3600.0
+UNIX = 1_700_000_000.0  # s by which Unix time is ahead of the loop's clock at first
+
+
+def warm_at(stage: Stage, number: int) -> float:
+    name = entry(stage.boxes[number])["name"].encode()
+    return float(stage.life.host.servers[name].warm_at)  # type: ignore[attr-defined]
+
+
+def hear(stage: Stage, index: int, *entries: dict[str, Any]) -> None:
+    discovery = stage.life.discovery
+    discovery._hear({"index": index, "snapshot": False, "endpoints": list(entries)}, False, discovery.heard)
+
+
+@pytest.mark.parametrize("step", [-HOUR, -5.0, 5.0, HOUR])
+def test_a_step_of_the_wall_clock_moves_no_slow_start(tmp_path: Path, step: float) -> None:
+    def test(stage: Stage) -> None:
+        stage.until(lambda: stage.life.discovery.usable())
+        first, second = stage.boxes
+        stage.unix_offset, now = UNIX, stage.loop.now()
+        started = int((now + UNIX) * 1000.0)
+        hear(stage, 3, entry(first, since_ms=started))
+        assert warm_at(stage, 0) == pytest.approx(now + COLD, abs=0.1)
+        stage.unix_offset += step
+        hear(stage, 4, entry(first, since_ms=started, weight=2.0))  # told of again: it has not started again
+        assert warm_at(stage, 0) == pytest.approx(now + COLD, abs=0.1)
+        # All machines read one clock: a start after the step is told by the new one.
+        now = stage.loop.now()
+        hear(stage, 5, entry(second, since_ms=int((now + UNIX + step) * 1000.0)))
+        assert warm_at(stage, 1) == pytest.approx(now + COLD, abs=0.1)
+    Stage(tmp_path, test, [answers()] * 2)
+
+
+@pytest.mark.parametrize("step", [-HOUR, HOUR])
+def test_a_step_between_a_start_and_its_listing_is_bounded(tmp_path: Path, step: float) -> None:
+    def test(stage: Stage) -> None:
+        stage.until(lambda: stage.life.discovery.usable())
+        now = stage.loop.now()
+        started = int((now + UNIX) * 1000.0)
+        stage.unix_offset = UNIX + step
+        hear(stage, 3, entry(stage.boxes[0], since_ms=started))
+        assert now + COLD - LISTED_WITHIN - 1.0 < warm_at(stage, 0) < now + COLD + 0.1
+    Stage(tmp_path, test, [answers()])
+
+
+@pytest.mark.parametrize("number", sorted(OWN_FAULTS))
+def test_a_connect_that_fails_for_our_own_reasons_blames_no_server(tmp_path: Path, number: int,
+                                                                  monkeypatch: pytest.MonkeyPatch) -> None:
+    def test(stage: Stage) -> None:
+        stage.until(lambda: stage.life.discovery.usable())
+        connect, faults = Stream.connect, [True]
+
+        def fails(loop: Any, to: Any, *rest: Any) -> Stream:
+            if to == stage.boxes[0].listener.address and faults[0]:
+                raise OSError(number, errno.errorcode[number])
+            return connect(loop, to, *rest)
+        monkeypatch.setattr(Stream, "connect", fails)
+        refused = stage.ask("/record", "POST", "r1", body=b"{}", idempotency_key="k1")
+        assert refused.status == 503 and refused.header(b"retry-after")  # nothing has run
+        faults[0] = False
+        assert stage.ask("/record", "POST", "r2", body=b"{}", idempotency_key="k2").status == 200
+    Stage(tmp_path, test, [answers()])
--- a/tests/platform/test_tables.py
+++ b/tests/platform/test_tables.py
@@ -24,7 +24,7 @@
 
 
 def post(folder: Path, **changed: Any) -> Post:
-    return read_post(written(folder, **changed), 0.0)
+    return read_post(written(folder, **changed))
 
 
 def test_the_simulators_text_and_the_platforms_object_are_one_charter(tmp_path: Path) -> None:
@@ -53,7 +53,7 @@
     (tmp_path / "config.json").write_text('{"name":')
     for told in ({}, environ, {"PROXY_CONFIG": str(tmp_path / "none")}):
         with pytest.raises(Misfit):
-            read_post(told, 0.0)
+            read_post(told)
 
 
 GOOD = {"x-call-id": "9b1f03aa5c7e2d41", "x-budget-ms": "480"}
@@ -178,7 +178,7 @@
 def test_a_tenant_that_is_not_known_is_none_of_those_that_are(tmp_path: Path, headers: dict[str, str],
                                                               tenant: int) -> None:
     # Whoever was not named, or by no known number, counted as the first tenant, or as the last.
-    orders = read_post(written(tmp_path, settings=SETTINGS | {"Realms": REALMS}), 0.0).orders
+    orders = read_post(written(tmp_path, settings=SETTINGS | {"Realms": REALMS})).orders
     assert asked(PlatformSpeech(orders), "GET", "/lookup", b"", **headers) == Asked(0, 0.48, tenant)
     # Where there are no tenants all are alike.
     assert asked(PlatformSpeech(post(tmp_path).orders), "GET", "/lookup", x_caller="club") == Asked(0, 0.48)
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -61,6 +61,7 @@
 
     def __init__(self, folder: Path, test: Callable[[Stage], None], scripts: list[Script], **changed: Any) -> None:
         self.driver, self.log, self.folder, self.test = PollDriver(), Said(), folder, test
+        self.unix_offset = 0.0  # s by which Unix time is ahead of the loop's clock
         self.loop, self.scripts, self.changed = Loop(self.driver, self.log._line), scripts, changed
         try:
             self.loop.run(self._main)
@@ -86,7 +87,8 @@
     def begin(self) -> None:
         """Start an umpire by the configuration as it is now."""
         environ = self.write()
-        self.life = Life(self.loop, read_post(environ, 0.0), Umpire, self.log, lambda: read_post(environ, 0.0))
+        self.life = Life(self.loop, read_post(environ), Umpire, self.log, lambda: read_post(environ),
+                         lambda: self.unix_offset)
         self.task = self.loop.spawn(self.life.run, name="umpire")
 
     def until(self, true: Callable[[], Any]) -> None:
