--- a/stepsail/loop/stream.py
+++ b/stepsail/loop/stream.py
@@ -11,7 +11,7 @@
 from stepsail.loop.hub import Loop, Waiter
 
 CHUNK = 65536
-SHED_PAUSE = 0.05  # s after a connection was turned away for want of descriptors; without it accept spins
+ACCEPT_PAUSE = 0.05  # s after an accept that failed, for want of descriptors or memory; without it accept spins
 BACKLOG = 1024
 ROOM_LOOK = 0.02  # s between looks whether a connection can make room, where none does so by itself
 
@@ -149,7 +149,7 @@
             try:
                 took = self._accept()
             except OSError as trouble:
-                self._shed(trouble)
+                self._wait_for_means(trouble)
                 continue
             if took:
                 self.loop.spend()
@@ -185,12 +185,17 @@
                 return False
         return True
 
-    def _shed(self, trouble: OSError) -> None:
-        shed = getattr(self.loop.driver, "shed_one", None)
+    def _wait_for_means(self, trouble: OSError) -> None:
+        """An accept failed: the connection waits in the backlog with what it holds, until there is room for it.
+
+        Guards against a reset of a client whose whole request the system has taken already.
+        """
         if self.port.closed:
             return
-        self.loop.report("connection_shed", error=str(trouble), done=bool(shed and shed(self.port)))
-        self.loop.sleep(SHED_PAUSE)
+        self.loop.report("accept_failed", error=str(trouble), open=len(self.open))
+        if self.make_room:
+            self.make_room()
+        self.loop.sleep(ACCEPT_PAUSE)
 
     def _one(self, handle: Callable[[Stream], Any], stream: Stream) -> None:
         try:
