--- a/stepsail/decisions/call_pacing.py
+++ b/stepsail/decisions/call_pacing.py
@@ -16,7 +16,7 @@
 WINDOW_PER_INSTANCE = 0.06  # s of the first window for each instance of the fleet
 LEAST_WINDOW = 1.0  # s; for small fleets
 GROWTH = 1.5  # of the window with each further failure
-MOST_GROWTHS = 2  # a longer window would leave instances without a list for long after an outage
+MOST_GROWTHS = 1  # a longer window would leave instances without a list for long after an outage
 START_SPREAD_PER_INSTANCE = 0.01  # s over which the first calls of a fleet that starts at once are spread
 LEAST_PAUSE = 0.2  # s
 
@@ -33,9 +33,13 @@
         """A call succeeded: the next failure is a first one."""
         self.failures = 0
 
-    def next_pause(self) -> float:
-        """A call failed; how long to wait before the next one."""
-        window = self.first_window * GROWTH ** min(MOST_GROWTHS, self.failures)
+    def next_pause(self, reached: bool) -> float:
+        """A call failed; how long to wait before the next one.
+
+        `reached`: the service had accepted the connection. A call that did not get so far has cost the service
+        nothing, and waits for no turn in the fleet.
+        """
+        window = (self.first_window if reached else LEAST_WINDOW) * GROWTH ** min(MOST_GROWTHS, self.failures)
         self.failures += 1
         return LEAST_PAUSE + window * self._chance()
 
--- a/stepsail/platform/discovery.py
+++ b/stepsail/platform/discovery.py
@@ -52,6 +52,7 @@
     called_with: int  # index
     heard: int  # how many lists had been taken, by any call, when this watch last brought one
     heard_at: float = 0.0
+    reached: bool = True  # whether discovery had accepted the connection
     stands: bool = False
     only_alive: bool = False  # signs of life came, and no list
 
@@ -126,8 +127,8 @@
         self.loop.sleep(delay)
         while True:
             began = self.loop.now()
-            stood = self._watched(within)
-            if stood:
+            watch = self._watched(within)
+            if watch.stands:
                 self.pacing.succeeded()
                 # One that ended has cost no time: its call may wait in turn, and is not given up for another one.
                 calls, within = (AGAIN, AGAIN_WITHIN) if self.silent else (1, LIST_WITHIN)
@@ -138,11 +139,11 @@
                 self.loop.sleep(max(0.0, PAUSE - (self.loop.now() - began)))
                 continue
             self.host.tell(self.host.umpire.roster_failed)
-            self.loop.sleep(self.pacing.next_pause())
+            self.loop.sleep(self.pacing.next_pause(watch.reached))
             calls, within = 1, LIST_WITHIN
 
-    def _watched(self, within: float) -> bool:
-        """One watch until its end; whether it stood, which it does from its first list on."""
+    def _watched(self, within: float) -> Watch:
+        """One watch until its end."""
         called_at = self.loop.now()
         watch = Watch(called_at, self.index, self.heard)
         answer, by_peer = None, False
@@ -152,6 +153,7 @@
                 said = answer.next(SILENT if watch.stands else max(0.0, called_at + within - self.loop.now()))
                 self._take(watch, said, answer.said_at)
         except (CallFailed, Misfit) as trouble:
+            watch.reached = not isinstance(trouble, CallFailed) or trouble.sent
             by_peer = self.loop.now() < watch.heard_at + SILENT
             if watch.only_alive:  # it waits for a change; the next call is for the whole list
                 self.index = 0
@@ -166,7 +168,7 @@
             self.silent = not by_peer
             if watch.stands:
                 self.lease.watch_ended(self.loop.now(), by_peer)
-        return watch.stands
+        return watch
 
     def _take(self, watch: Watch, said: Any, said_at: float) -> None:
         """Take what a watch said: a list, or a sign of life, which confirms the list once the watch has given one."""
--- a/stepsail/platform/streaming.py
+++ b/stepsail/platform/streaming.py
@@ -52,7 +52,7 @@
             raise CallFailed(str(trouble)) from None
         except (OSError, TimedOut, Closed, BadMessage) as trouble:
             self.close()
-            raise CallFailed(why(trouble)) from None
+            raise CallFailed(why(trouble), sent=self.outlet is not None) from None
         except BaseException:
             self.close()
             raise
