Entries of discovery's list are read in a module of their own, into typed members

Change: platform/members.py holds Member, MemberChange and MemberReader; Discovery keeps calls, order and lease.

--- a/stepsail/platform/discovery.py
+++ b/stepsail/platform/discovery.py
@@ -14,7 +14,8 @@
 from stepsail.interface import Listed
 from stepsail.loop import Event, Loop, Task
 from stepsail.platform import words
-from stepsail.platform.fields import Misfit, address, number, part, whole
+from stepsail.platform.fields import Misfit, part, whole
+from stepsail.platform.members import LISTED_WITHIN, Member, MemberChange, MemberReader
 from stepsail.platform.streaming import StreamingResponse, call
 from stepsail.umpire.caller import CallFailed
 from stepsail.umpire.host import Host, Log
@@ -27,21 +28,7 @@
 PAUSE = 0.3  # s at least from the beginning of one watch to that of the next
 ASK_WITHIN = 2.0  # s for a list that is asked for once
 FORGET = 30.0  # s after which a server that is gone is forgotten; what is told of it late has come by then
-LISTED_WITHIN = 5.0  # s from a server's start to its first listing, at most
 LOGGED_NAMES = 12  # names of servers that one log line holds
-MOST_ZONES = 1000  # names of zones that are kept; an entry with a further one is as one that cannot be read
-
-
-class Entry:
-    """One server as it was last listed."""
-
-    __slots__ = ("build", "gone_at", "key", "since", "state", "to", "unix_start", "zone")
-
-    def __init__(self, to: Address, zone: int, state: Listed, since: float, build: int, unix_start: float) -> None:
-        self.to, self.zone, self.state, self.since, self.build = to, zone, state, since, build
-        self.unix_start = unix_start  # s, as it is told; `since` is the same on the loop's clock
-        self.key = (to, state, since, build)
-        self.gone_at = 0.0
 
 
 @dataclass(slots=True)
@@ -68,9 +55,9 @@
                  unix_offset: Callable[[], float]) -> None:
         self.loop, self.orders, self.host, self.log, self.at = loop, orders, host, log, at
         self.unix_offset = unix_offset  # s by which Unix time is ahead of the loop's clock now
-        self.zones = {name: at for at, name in enumerate(orders.zones)}
         self.index, self.heard = 0, 0  # of the newest list; how many lists have been taken
-        self.entries: dict[bytes, Entry] = {}
+        self.members: dict[bytes, Member] = {}
+        self.reader = MemberReader(orders.zones, self.members, log, self._started_at)
         self.first = Event(loop)  # a list that is not of before the start is here
         self.watching: Task | None = None
         self.asking: Task | None = None
@@ -84,8 +71,8 @@
 
     def place(self, server: bytes) -> tuple[Address, object]:
         """Where a server is, and what it was listed as."""
-        entry = self.entries[server]
-        return entry.to, entry.key
+        member = self.members[server]
+        return member.address, member.identity
 
     def recall(self, known: Any) -> None:
         """The list of before the start, which may be old."""
@@ -216,7 +203,8 @@
         discovery counts anew. Changes of before what is known are none: all is called for again.
         """
         index, full = whole(said, "index"), part(said, "snapshot", bool)
-        lines = [entry for line in part(said, "endpoints", list) if (entry := self._entry(line)) is not None]
+        read = (self.reader.read(entry) for entry in part(said, "endpoints", list))
+        changes = [change for change in read if change is not None]
         if not cached and index < self.index:
             if self.heard > begun:
                 self.log.info("list_overtaken", index=index, before=self.index)
@@ -225,84 +213,59 @@
                 self.index = 0
                 raise Misfit("changes of before what is known")
             self.log.warning("list_anew", before=self.index, index=index)
-        unavailable = [name.decode() for name, entry, *_ in lines if entry.state is not Listed.READY]
-        self.log.info("list_taken", index=index, before=self.index, whole=full, cached=cached, entries=len(lines),
-                      unavailable=len(unavailable), first=unavailable[:LOGGED_NAMES])
+        self._log_list(index, changes, full, cached)
         self.index = index
         self.heard += 1
-        self.host.tell(self._tell, lines, full, cached)
+        self.host.tell(self._tell, changes, full, cached)
         self._forget()
         if not cached:
             self.first.set()
         return True
 
-    def _entry(self, line: Any) -> tuple[bytes, Entry, int, float] | None:
-        """One server; None for what names none. Guards against one entry that cannot be read and takes the drains of
-        all others with it: its server, where it is known, gets nothing new until it is told of again."""
-        name = line.get("name") if isinstance(line, dict) else None
-        if not isinstance(name, str) or not name:
-            self.log.warning("entry_passed_over", entry=str(line)[:200])
-            return None
-        try:
-            zone, state = part(line, "zone", str), part(line, "status", str)
-            if state not in words.STATES:
-                raise Misfit(f"status: {state[:40]!r}")
-            if zone not in self.zones and len(self.zones) >= MOST_ZONES:
-                raise Misfit(f"zone: over {MOST_ZONES} names")
-            since = number(line, "since_ms") / 1000.0
-            to, build = address(line.get("address")), whole(line, "revision_no", 65535)
-            entry = Entry(to, self.zones.setdefault(zone, len(self.zones)), words.STATES[state],
-                          self._started_at(name.encode(), since), build, since)
-            return name.encode(), entry, whole(line, "group", 65535), number(line, "weight")
-        except Misfit as trouble:
-            self.log.warning("entry_not_read", server=name[:80], error=str(trouble)[:200])
-            known = self.entries.get(name.encode())
-            if known is None:
-                return None
-            return name.encode(), Entry(known.to, known.zone, Listed.DRAINING, known.since, known.build,
-                                         known.unix_start), 0, 1.0
-
-    def _started_at(self, name: bytes, unix_start: float) -> float:
-        """When a server started, on the loop's clock; 0 for long ago.
-
-        Fixed at the first hearing of each start, as the wall clock may be stepped at any time. Guards against a step
-        between a start and its listing, which would make a cold server look warm: a start that a confirmed list did
-        not have is not much older than that confirmation.
+    def _log_list(self, index: int, changes: list[MemberChange], full: bool, cached: bool) -> None:
+        unavailable = [change.name.decode() for change in changes if change.member.status is not Listed.READY]
+        self.log.info("list_taken", index=index, before=self.index, whole=full, cached=cached, entries=len(changes),
+                      unavailable=len(unavailable), first=unavailable[:LOGGED_NAMES])
+
+    def _started_at(self, unix_start: float) -> float:
+        """When a server started, on the loop's clock.
+
+        Guards against a step of the wall clock between a start and its listing, which would make a cold server look
+        warm: a start that a confirmed list did not have is not much older than that confirmation.
         """
-        known = self.entries.get(name)
-        if not unix_start:
-            return 0.0
-        if known is not None and known.unix_start == unix_start:
-            return known.since
-        started = min(unix_start - self.unix_offset(), self.loop.now())
-        return max(started, self.lease.confirmed_at - LISTED_WITHIN)
-
-    def _tell(self, lines: list[tuple[bytes, Entry, int, float]], full: bool, cached: bool) -> None:
-        listed = {name for name, *_ in lines}
-        for name in [n for n in self.entries if full and n not in listed]:
-            self._gone(name, self.entries[name])
-        for name, entry, cell, size in lines:
-            before = self.entries.get(name)
-            if before is None and entry.state is Listed.GONE:
-                continue
-            if before is not None and before.key != entry.key:
-                self.moved(name)
-            self.entries[name] = entry
-            self.host.meet(name).listed(entry.zone, cell, entry.build, entry.state, entry.since, size)
-            if entry.state is Listed.GONE:
-                entry.gone_at = self.host.clock
+        started_at = min(unix_start - self.unix_offset(), self.loop.now())
+        return max(started_at, self.lease.confirmed_at - LISTED_WITHIN)
+
+    def _tell(self, changes: list[MemberChange], full: bool, cached: bool) -> None:
+        """Hand a list to the decisions, all of it under one reading of the clock."""
+        listed = {change.name for change in changes}
+        for name in [n for n in self.members if full and n not in listed]:
+            self._gone(name, self.members[name])
+        for change in changes:
+            self._change(change)
         self.host.umpire.roster_read(full, cached)
 
-    def _gone(self, name: bytes, entry: Entry) -> None:
-        if entry.state is not Listed.GONE:
-            entry.state, entry.gone_at = Listed.GONE, self.host.clock
-            entry.key = (entry.to, entry.state, entry.since, entry.build)
+    def _change(self, change: MemberChange) -> None:
+        name, member, before = change.name, change.member, self.members.get(change.name)
+        if before is None and member.status is Listed.GONE:
+            return
+        if before is not None and before.identity != member.identity:
+            self.moved(name)
+        self.members[name] = member
+        self.host.meet(name).listed(member.zone, change.cell, member.build, member.status, member.started_at,
+                                    change.weight)
+        if member.status is Listed.GONE:
+            member.gone_at = self.host.clock
+
+    def _gone(self, name: bytes, member: Member) -> None:
+        if member.status is not Listed.GONE:
+            member.status, member.gone_at = Listed.GONE, self.host.clock
             self.moved(name)
 
     def _forget(self) -> None:
         """Guards against ever new names: those long gone leave no trace here nor in the host."""
         before = self.loop.now() - FORGET
-        for name in [n for n, e in self.entries.items() if e.state is Listed.GONE and e.gone_at < before]:
+        for name in [n for n, m in self.members.items() if m.status is Listed.GONE and m.gone_at < before]:
             if not any(name.decode() == at for held in self.host.held.values() for at, _ in held.story):
-                del self.entries[name]
+                del self.members[name]
                 self.host.servers.pop(name, None)
--- a/stepsail/platform/life.py
+++ b/stepsail/platform/life.py
@@ -79,7 +79,7 @@
         self.door.open()
         self._first_list()
         self.door.ready = True
-        self.log.info("ready", listen="{}:{}".format(*self.orders.listen), servers=len(self.discovery.entries))
+        self.log.info("ready", listen="{}:{}".format(*self.orders.listen), servers=len(self.discovery.members))
         self.stopped.wait(why="a signal to stop")
         return self._leave(sweep)
 
--- a/tests/incidents/test_clocks_and_calls.py
+++ b/tests/incidents/test_clocks_and_calls.py
@@ -11,7 +11,7 @@
 from stage import Stage, entry
 
 from stepsail.loop import Stream
-from stepsail.platform.discovery import LISTED_WITHIN
+from stepsail.platform.members import LISTED_WITHIN
 from stepsail.umpire.nodes import OWN_FAULTS
 
 COLD = 0.9  # s, as the stage's settings have it
