Calls that fail for a while lose no request: recv, send, poll, close, setsockopt, the log, the address at a start

ENOMEM and ENOBUFS of recv and send ended connections with whole requests on them, ENOMEM of poll ended the process, an error of close or setsockopt ended an accepted connection; a log line that could not be written ended the task that wrote it, and so its client's connection, and gave exit code 120; a start whose address was still held, or whose file was being replaced, gave up. Change: such calls are made again; what is not known counts as bytes being there; the log writes to the descriptor itself and counts what it drops; a start tries its address for 10 s and its file for 1 s.

--- a/stepsail/loop/poll.py
+++ b/stepsail/loop/poll.py
@@ -29,6 +29,9 @@
 GONE_BEFORE_ACCEPT = frozenset((
     errno.ECONNABORTED, errno.EPROTO, errno.ENETDOWN, errno.ENOPROTOOPT, errno.EHOSTDOWN, errno.ENONET,
     errno.EHOSTUNREACH, errno.EOPNOTSUPP, errno.ENETUNREACH, errno.ETIMEDOUT, errno.EPERM))
+# Errors of recv, send and poll that pass, and tell nothing of the far end.
+NO_MEANS = frozenset((errno.ENOMEM, errno.ENOBUFS))
+POLL_PAUSE = 0.005  # s after a poll that failed; without it the loop spins
 MOST_GONE = 64  # such errors in one call to accept; then the other tasks have a turn
 TCP_INFO_SIZE, LAST_DATA_AT = 64, 52  # of tcp_info in linux/tcp.h: tcpi_last_data_recv, in ms
 LAST_DATA_RECEIVED = struct.Struct("I")
@@ -55,20 +58,27 @@
                 gone += 1
                 if trouble.errno not in GONE_BEFORE_ACCEPT or gone > MOST_GONE:
                     raise
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        with contextlib.suppress(OSError):  # slower without it, and no worse
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return SocketPort(sock), (peer[0], peer[1])
 
     def recv(self, most: int) -> bytes | None:
         try:
             return self.sock.recv(most)
-        except (BlockingIOError, InterruptedError):
-            return None
+        except OSError as trouble:
+            return self._later(trouble)
 
     def send(self, data: bytes | memoryview) -> int | None:
         try:
             return self.sock.send(data)
-        except (BlockingIOError, InterruptedError):
-            return None
+        except OSError as trouble:
+            return self._later(trouble)
+
+    @staticmethod
+    def _later(trouble: OSError) -> None:
+        """None for a call that has to be made again; raises what ends the connection."""
+        if trouble.errno not in WOULD_WAIT and trouble.errno not in NO_MEANS:
+            raise trouble
 
     def recvfrom(self, most: int) -> tuple[bytes, Address] | None:
         try:
@@ -126,7 +136,7 @@
 
     def poll(self, timeout: float | None) -> None:
         # Rounded up: a wait that ends a fraction early would spin until the timer is due.
-        for fd, ready in self.poller.poll(None if timeout is None else -(-timeout * 1000 // 1)):
+        for fd, ready in self._polled(None if timeout is None else -(-timeout * 1000 // 1)):
             if fd == self.wake_out:
                 self._signalled()
                 continue
@@ -147,8 +157,18 @@
                 # system's table anew for each poll.
                 self._mask(port)
 
+    def _polled(self, milliseconds: float | None) -> list[tuple[int, int]]:
+        """What is ready; nothing where the system could not tell for want of memory."""
+        try:
+            return self.poller.poll(milliseconds)
+        except OSError as trouble:
+            if trouble.errno not in WOULD_WAIT and trouble.errno not in NO_MEANS:
+                raise
+            time.sleep(POLL_PAUSE)
+            return []
+
     def _signalled(self) -> None:
-        with contextlib.suppress(BlockingIOError):
+        with contextlib.suppress(OSError):
             while numbers := os.read(self.wake_out, 64):
                 for number in numbers:
                     if number in self.calls:
@@ -198,19 +218,23 @@
             del port.waiters[direction]
 
     def readable(self, port: Port) -> bool:
-        return self._look(port, READY[READ] | ENDED)
+        return self._look(port, READY[READ] | ENDED, unknown=True)  # nothing that may hold bytes is closed unread
 
     def hung_up(self, port: Port) -> bool:
-        return self._look(port, ENDED | select.POLLRDHUP)
+        return self._look(port, ENDED | select.POLLRDHUP, unknown=False)
 
     @staticmethod
-    def _look(port: Port, mask: int) -> bool:
+    def _look(port: Port, mask: int, unknown: bool) -> bool:
+        """Whether one of these events is here; `unknown` where the system could not tell."""
         assert isinstance(port, SocketPort)
         if port.closed:
             return True
         poller = select.poll()
         poller.register(port.fd, mask)
-        return bool(poller.poll(0))
+        try:
+            return bool(poller.poll(0))
+        except OSError:
+            return unknown
 
     def close(self, port: Port) -> None:
         assert isinstance(port, SocketPort)
@@ -220,7 +244,8 @@
         if port.mask:  # before the number can be used again by whatever opens next
             self.poller.unregister(port.fd)
             self.ports.pop(port.fd, None)
-        port.sock.close()
+        with contextlib.suppress(OSError):  # the descriptor is gone all the same (close(2))
+            port.sock.close()
         port.dismiss()
 
     def listen(self, address: Address, backlog: int) -> Port:
@@ -238,7 +263,8 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         port = SocketPort(sock)
         try:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             if source:
                 sock.bind(source)
             code = sock.connect_ex(address)
--- a/stepsail/platform/__main__.py
+++ b/stepsail/platform/__main__.py
@@ -9,7 +9,9 @@
 import gc
 import os
 import sys
+import time
 import traceback
+from collections.abc import Callable
 
 from stepsail.balance import Umpire
 from stepsail.loop import Loop, PollDriver
@@ -18,9 +20,20 @@
 from stepsail.platform.logs import JsonLog
 from stepsail.platform.settings import Post, read_post
 
+FIRST_READS, READ_AGAIN = 6, 0.2  # how often a file that cannot be read is read at the start; s between two reads
 YOUNGEST = 20_000  # objects between two looks of the collector at the youngest
 
 
+def first_read(read: Callable[[], Post]) -> Post:
+    """The configuration; a file that is being replaced as this process starts is read again. Raises Misfit."""
+    for _ in range(FIRST_READS - 1):
+        try:
+            return read()
+        except Misfit:
+            time.sleep(READ_AGAIN)
+    return read()
+
+
 def main() -> int:
     driver = PollDriver()
     log = JsonLog(driver.now)
@@ -28,7 +41,7 @@
     def read() -> Post:
         return read_post(os.environ)
     try:
-        post = read()
+        post = first_read(read)
     except Misfit as trouble:
         print(f"stepsail: {trouble}", file=sys.stderr)
         return 2
--- a/stepsail/platform/life.py
+++ b/stepsail/platform/life.py
@@ -21,6 +21,7 @@
 
 STILL_COMING = 0.6  # s after SIGTERM in which clients still connect
 FIRST_LIST = 6.0  # s for the first list: nine in ten have 10 s to be ready, also where none is to be had
+LISTEN_WITHIN, LISTEN_AGAIN = 10.0, 0.2  # s in which the address may become free; between two tries
 READ_AGAIN, READS = 0.2, 10  # s until a file that could not be read is read again; how often
 
 
@@ -76,13 +77,25 @@
             self.discovery.watch()
         sweep = self.loop.spawn(self.nodes.sweep, name="sweep", essential=True)
         self.loop.spawn(self.report_tallies, name="tallies")
-        self.door.open()
+        self._open_door()
         self._first_list()
         self.door.ready = True
         self.log.info("ready", listen="{}:{}".format(*self.orders.listen), servers=len(self.discovery.members))
         self.stopped.wait(why="a signal to stop")
         return self._leave(sweep)
 
+    def _open_door(self) -> None:
+        """Listen. What holds the address, or lacks, may pass: it is tried for a while. Raises OSError after that."""
+        until = self.loop.now() + LISTEN_WITHIN
+        while True:
+            try:
+                return self.door.open()
+            except OSError as trouble:
+                self.log.warning("not_listening", error=str(trouble))
+                if self.loop.now() >= until or self.stopped.is_set:
+                    raise
+            self.loop.sleep(LISTEN_AGAIN)
+
     def _first_list(self) -> None:
         """Guards against a start by the list of before the start, which may be old: what has changed since counts as
         told, from the first moment where lists are pushed, and some seconds after it could be had elsewhere."""
--- a/stepsail/platform/logs.py
+++ b/stepsail/platform/logs.py
@@ -7,12 +7,13 @@
 
 from __future__ import annotations
 
-import sys
+import os
 from collections.abc import Callable
 from typing import Any
 
 import msgspec
 
+STANDARD_ERROR = 2
 STATE_LINES_PER_SECOND = 10.0
 STATE_LINES_BURST = 50.0
 REQUEST_LINES_PER_SECOND = 5.0
@@ -70,5 +71,16 @@
         line = {"at": round(now, 3), "level": level, "event": event, **fields}
         if budget.dropped:
             line["dropped"] = budget.take_dropped()
-        sys.stderr.buffer.write(msgspec.json.encode(line, enc_hook=str) + b"\n")
-        sys.stderr.buffer.flush()
+        if not self._written(msgspec.json.encode(line, enc_hook=str) + b"\n"):
+            budget.dropped += 1
+
+    @staticmethod
+    def _written(line: bytes) -> bool:
+        """Whether all of a line could be written. A full disk or a reader that has gone must not cost a request its
+        answer, nor the process its exit code, so that nothing is raised and nothing kept in a buffer."""
+        try:
+            while line:
+                line = line[os.write(STANDARD_ERROR, line):]
+        except OSError:
+            return False
+        return True
--- a/stepsail/umpire/nodes.py
+++ b/stepsail/umpire/nodes.py
@@ -16,7 +16,7 @@
 from stepsail.umpire.wire import Wire
 
 # Errors of socket and connect that tell of this machine, and blame no server: no descriptors, memory, ports or route.
-OWN_FAULTS = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL,
+OWN_FAULTS = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL, errno.EAGAIN,
                         errno.ENETUNREACH, errno.ENETDOWN, errno.EPERM, errno.EACCES))
 PARTS = 4  # parts of a large answer that may wait for a slow client
 SWEEP = 1.0  # s between looks at idle connections
