Held up before its first byte, no attempt repeats a key too late or reaches a build that may get nothing

Change: Transaction.stands looks at both right before the first byte, with 0.2 s kept for being held up.

--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -51,6 +51,7 @@
 PACE_KEPT, KEPT, OLD_LOAD = 16, 4000, 2.0  # outcomes to a halving; times kept; s until a report is stale
 FEWEST, WINDOW, WIDER, STALL = 4, 4.0, 0.5, 4.0  # servers in use; relays open; growth; usual silence
 SPARE, WAIT = 2.0, 0.25  # usual times that one waiting must have left; share of its target it may always wait
+HELD_UP = 0.2  # s that a process may be held up between a look at the clock and the first byte of an attempt
 COLD_PART, FORGOTTEN = 0.5, 0.8  # of what fells cold servers, sent to them; of a window cut off by a restart
 PRIOR, CROSSING, FAR = 0.2, 0.5, 3.0  # of a target, usual at first; rarer crossings; paces that blame the way
 
@@ -368,8 +369,21 @@
             umpire, relay.judged = self.umpire, True
             umpire.weigh([f for f in self.flows if f.stuck] or umpire.flows, self.flows, late)
 
-    def stands(self, number: int) -> bool:  # guards against a key answered while a connection was made
-        return self.relays[number].build >= self.umpire.least_build(self.key)
+    def stands(self, number: int) -> bool:
+        """Whether an attempt may still be sent, asked right before its first byte.
+
+        A connection was made, and this process may have stood still, since it was chosen: a key may have been
+        answered by a later build, a build on trial get nothing any more, the time for repeats of a key be over.
+        """
+        relay, umpire = self.relays[number], self.umpire
+        if relay.build < umpire.least_build(self.key):
+            return False
+        if relay.build == umpire.build and umpire.on_trial(relay.build) and umpire.cap <= 0:
+            return False
+        first = next((r for r in self.relays[:number] if r.may_have_run), None)
+        if first is None or self.product.repeat is not Repeat.LABELLED:
+            return True
+        return umpire.host.clock < first.at + self.product.window - HELD_UP
 
     def client_left(self) -> None:
         self.closed = True
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -47,6 +47,30 @@
         assert repeat is Repeat.REDOABLE or desk.relays[1][1].zone == first.zone
 
 
+def test_an_attempt_that_was_held_up_is_not_sent_when_the_time_for_repeats_of_its_key_is_over() -> None:
+    # Chosen inside the window, it was sent after it where its connection took a while.
+    desk = Desk(builds=(1, 1, 1, 1))
+    transaction, sent_at = desk.take(1, 5.0), desk.clock
+    desk.clock = sent_at + 1.1
+    transaction.relay_ended(0, Outcome.LATE, False, 1.1, ())
+    assert len(desk.relays) == 2 and transaction.stands(1)
+    window = transaction.product.window
+    desk.clock = sent_at + window - 0.25
+    assert transaction.stands(1) and transaction.stands(0)
+    desk.clock = sent_at + window - 0.15
+    assert not transaction.stands(1) and transaction.stands(0)  # the first one repeats nothing
+
+
+def test_an_attempt_that_was_held_up_is_not_sent_to_a_build_that_may_get_nothing_any_more() -> None:
+    desk = Desk(builds=(2, 2))
+    desk.news(2, 1, Phase.TRIAL, 1.0)
+    desk.clock += 4.0
+    transaction = desk.take(0)
+    assert transaction.stands(0)
+    desk.news(2, 1, Phase.REVERTING, 0.0)
+    assert not transaction.stands(0)
+
+
 def test_a_waiting_transaction_is_answered_before_its_time_is_up() -> None:
     desk = Desk(builds=(1,))
     desk.roster((1,), state=0)
