--- a/stepsail/balance.py
+++ b/stepsail/balance.py
@@ -373,7 +373,7 @@
         """Whether an attempt may still be sent, asked right before its first byte.
 
         A connection was made, and this process may have stood still, since it was chosen: a key may have been
-        answered by a later build, a build on trial get nothing any more, the time for repeats of a key be over.
+        answered by a later build, a build on trial may get nothing more, the time for repeats may be over.
         """
         relay, umpire = self.relays[number], self.umpire
         if relay.build < umpire.least_build(self.key):
