stepsail qualify: real processes under faults drawn from a seed, judged from their far ends

Change: stepsail/qualify (records, checks, stand-ins, instances, clients, faults, soak) and its command; the incident's tests stand on it, in place of a rig of their own.

--- a/stepsail/cli/main.py
+++ b/stepsail/cli/main.py
@@ -26,6 +26,7 @@
 from stepsail.charter.move import moved, put
 from stepsail.charter.words import KINDS
 from stepsail.cli import captures, fleets, logs, trails
+from stepsail.cli.qualify import qualify
 from stepsail.emulate.clockwork import Stuck
 from stepsail.emulate.play import play
 from stepsail.loop import Loop, PollDriver
@@ -88,6 +89,7 @@
 for command in (captures.capture, captures.replay_command, captures.explain, captures.view, trails.trail,
                 fleets.fleet):
     main.add_command(command)
+main.add_command(qualify)
 
 
 def _tell_faults(faults: Faults) -> None:
--- a/tests/incidents/test_expired_lists.py
+++ b/tests/incidents/test_expired_lists.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import signal
 from pathlib import Path
 
 from process_fleet import ProcessFleet
@@ -18,7 +17,7 @@
 def kill_and_restart(fleet: ProcessFleet, numbers: list[int]) -> None:
     """At once, as when most of a fleet goes; each starts again by the list of before."""
     for number in numbers:
-        fleet.instances[number].signal(signal.SIGKILL)
+        fleet.instances[number].kill()
     fleet.loop.sleep(0.2)
     for number in numbers:
         fleet.instances[number].start()
@@ -38,7 +37,7 @@
         assert not late, (late, fleet.logs())
         again_at = fleet.loop.now()
         fleet.discovery.crowded = False
-        fleet.until(lambda: all(one.served_since(again_at) for one in fleet.instances), SERVES_AGAIN_WITHIN)
+        fleet.until(lambda: all(fleet.served_since(one, again_at) for one in fleet.instances), SERVES_AGAIN_WITHIN)
         assert not fleet.late_arrivals(changed_at + COUNTS_AS_TOLD_AFTER)
     ProcessFleet(tmp_path, 6, test)
 
@@ -56,6 +55,6 @@
         assert not late, (late, fleet.logs())
         again_at = fleet.loop.now()
         fleet.discovery.crowded = False
-        fleet.until(lambda: all(one.served_since(again_at) for one in fleet.instances), SERVES_AGAIN_WITHIN)
+        fleet.until(lambda: all(fleet.served_since(one, again_at) for one in fleet.instances), SERVES_AGAIN_WITHIN)
         assert not fleet.late_arrivals(changed_at)
     ProcessFleet(tmp_path, 3, test, RegistryMode="pushed")
--- a/tests/incidents/test_lease_paths.py
+++ b/tests/incidents/test_lease_paths.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import signal
 from pathlib import Path
 from typing import Any
 
 import pytest
-from process_fleet import CrowdedDiscovery, ProcessFleet
+from process_fleet import ProcessFleet
 from rig import ScriptedBox, answers
 from stage import OPEN, Stage
 
@@ -98,24 +97,13 @@
 
 @pytest.mark.parametrize("torn_for", [0.0, 1.0])
 def test_after_a_new_configuration_what_the_new_discovery_has_counts_in_time(tmp_path: Path, torn_for: float) -> None:
+    # The address of before is open for a while and says nothing more, and the new one has no time.
     def test(fleet: ProcessFleet) -> None:
-        new = CrowdedDiscovery(fleet.loop, fleet.discovery.servers)
-        new.index, new.crowded = 50, True
+        fleet.discovery.silent = True
         for one in fleet.instances:
-            one.write(new.address)
-            whole = one.config.read_bytes()
-            if torn_for:
-                one.config.write_bytes(whole[:50])
-            one.signal(signal.SIGHUP)
-        changed_at = fleet.loop.now()
-        new.change(fleet.drained, "draining")
-        fleet.loop.sleep(torn_for)
-        for one in fleet.instances:
-            one.write(new.address)
-        fleet.loop.sleep(max(0.0, 1.5 - torn_for))
-        fleet.discovery.crowded = True  # the address of before closes
-        fleet.discovery.end_watches()
-        fleet.loop.sleep(changed_at + MOVE_COUNTS_AFTER + 3.0 - fleet.loop.now())
+            one.move_discovery(torn_for)
+        changed_at = fleet.discovery.change(fleet.drained, "draining")
+        fleet.loop.sleep(MOVE_COUNTS_AFTER + 3.0)
         late = fleet.late_arrivals(changed_at + MOVE_COUNTS_AFTER)
         assert not late, (late, fleet.logs())
     ProcessFleet(tmp_path, 2, test)
@@ -125,13 +113,13 @@
     # Discovery speaks once more, then falls silent; the process reads that word some seconds later.
     def test(fleet: ProcessFleet) -> None:
         for one in fleet.instances:
-            one.signal(signal.SIGSTOP)
+            one.stop()
         fleet.loop.sleep(2.2)
-        fleet.discovery.stalled = fleet.discovery.crowded = True
+        fleet.discovery.silent = fleet.discovery.crowded = True
         changed_at = fleet.discovery.change(fleet.drained, "draining")
         fleet.loop.sleep(CHANGE_COUNTS_AFTER + 0.7)
         for one in fleet.instances:
-            one.signal(signal.SIGCONT)
+            one.continue_()
         fleet.loop.sleep(3.0)
         late = fleet.late_arrivals(changed_at + CHANGE_COUNTS_AFTER)
         assert not late, (late, fleet.logs())
