Windows between calls do not shrink with the fleet as far: 6 s at thirty, growing to 18 s

Change: 0.2 s an instance, 12 s at most at first, 18 s at most; at 200 instances the windows are those of before.

--- a/stepsail/decisions/call_pacing.py
+++ b/stepsail/decisions/call_pacing.py
@@ -3,8 +3,7 @@
 Discovery answers calls in turn and works through those that their callers have given up, so that a fleet that
 calls again faster than it is served keeps the queue longer than any caller waits, and no call succeeds any
 more: a metastable failure (Bronson et al. 2021). The pauses are therefore drawn over a window that grows with
-the size of the fleet, so that the rate of all calls together does not, and that doubles as calls go on to fail
-(exponential back-off, full jitter).
+the size of the fleet up to a bound, and with each further failure (exponential back-off, full jitter).
 
 Seconds. No I/O.
 """
@@ -13,12 +12,15 @@
 
 from hashlib import blake2b
 
-WINDOW_PER_INSTANCE = 0.06  # s of the first window for each instance of the fleet
-LEAST_WINDOW = 1.0  # s; for small fleets
+WINDOW_PER_INSTANCE = 0.2  # s of the first window for each instance, in fleets of up to sixty
+LEAST_WINDOW = 1.0  # s
+LARGEST_FIRST_WINDOW = 12.0  # s: a service that is sized for its fleet answers all of it in about half of that
 GROWTH = 1.5  # of the window with each further failure
-MOST_GROWTHS = 1  # a longer window would leave instances without a list for long after an outage
-START_SPREAD_PER_INSTANCE = 0.01  # s over which the first calls of a fleet that starts at once are spread
+MOST_GROWTH = 3.0  # times the first window
+LARGEST_WINDOW = 18.0  # s; a longer one would leave instances without a list for long after an outage
+MOST_COUNTED = 10  # failures: a longer row of them makes no longer window
 LEAST_PAUSE = 0.2  # s
+START_SPREAD_PER_INSTANCE = 0.01  # s over which the first calls of a fleet that starts at once are spread
 
 
 class CallPacing:
@@ -26,7 +28,7 @@
 
     def __init__(self, name: str, seed: int, fleet_size: int) -> None:
         self.name, self.seed, self.fleet_size = name, seed, fleet_size
-        self.first_window = max(LEAST_WINDOW, WINDOW_PER_INSTANCE * fleet_size)
+        self.first_window = min(LARGEST_FIRST_WINDOW, max(LEAST_WINDOW, WINDOW_PER_INSTANCE * fleet_size))
         self.failures, self.draws = 0, 0
 
     def succeeded(self) -> None:
@@ -39,7 +41,10 @@
         `reached`: the service had accepted the connection. A call that did not get so far has cost the service
         nothing, and waits for no turn in the fleet.
         """
-        window = (self.first_window if reached else LEAST_WINDOW) * GROWTH ** min(MOST_GROWTHS, self.failures)
+        window = LEAST_WINDOW
+        if reached:
+            growth = min(MOST_GROWTH, GROWTH ** min(self.failures, MOST_COUNTED))
+            window = min(LARGEST_WINDOW, self.first_window * growth)
         self.failures += 1
         return LEAST_PAUSE + window * self._chance()
 
