--- a/stepsail/qualify/clients.py
+++ b/stepsail/qualify/clients.py
@@ -4,7 +4,7 @@
 
 from random import Random
 
-from stepsail.http import BadMessage, Bounds, CutShort, Outlet, Progress, Response, encode_request
+from stepsail.http import BadMessage, Bounds, Outlet, Progress, Response, encode_request
 from stepsail.loop import Closed, Loop, Stream, TimedOut
 from stepsail.loop.driver import Address
 from stepsail.qualify.records import ClientEnd, ClientRecord, Records, RequestClass
@@ -57,8 +57,6 @@
             status, end = answer.status, ClientEnd.ANSWERED
         except TimedOut:
             end = ClientEnd.LEFT if leaves else ClientEnd.TIMED_OUT
-        except CutShort:
-            end = ClientEnd.CUT_SHORT if progress.read else self._closed(reused)
         except (OSError, Closed, BadMessage):
             end = ClientEnd.CUT_SHORT if progress.read else self._closed(reused)
         if end is not ClientEnd.ANSWERED or not (self.connection and self.connection.usable):
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -17,10 +17,10 @@
 from stepsail.loop import Listener, Loop, PollDriver, Stream
 from stepsail.platform.life import Life
 from stepsail.platform.settings import read_post
+from stepsail.qualify.platform_stand_in import RELEASE_STATE, STREAM_HEAD
 from stepsail.standins.rehearsal import free_address
 
-OPEN = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
-NEWS = {"build": 1, "stage": 1, "phase": "live", "cap": 1.0, "age_ms": 0}
+OPEN, NEWS = STREAM_HEAD, RELEASE_STATE
 
 
 class Teller:
