A stop refuses new connections before its last accept, and resets none

Cause: Listener.finish accepted until nothing waited and then closed. What the system accepts between these two calls stands in the accept queue as the listener closes, and is reset. Change: the listener is bound to an interface that does not exist (SO_BINDTOIFINDEX), so that the system refuses every new SYN at once while handshakes under way still end in the queue; after 10 ms the queue is emptied, stays empty, and the listener closes. In virtual time the same. Result: the new test fails without the change (reset by peer) and passes with it.

--- a/stepsail/loop/driver.py
+++ b/stepsail/loop/driver.py
@@ -20,6 +20,12 @@
     def accept(self) -> tuple[Port, Address] | None:
         """The next connection of a listening port, and its far end."""
 
+    def stop_handshakes(self) -> None:
+        """Refuse new connections on a listening port; those being made can still be accepted.
+
+        Raises OSError where the system cannot.
+        """
+
     def recv(self, most: int) -> bytes | None:
         """Some bytes; none at the end of the stream."""
 
--- a/stepsail/loop/socket_port.py
+++ b/stepsail/loop/socket_port.py
@@ -37,6 +37,8 @@
 TCP_INFO_SIZE = 64  # bytes of tcp_info (linux/tcp.h) that are asked for
 LAST_DATA_RECEIVED_AT = 52  # offset in it of tcpi_last_data_recv, in ms
 LAST_DATA_RECEIVED = struct.Struct("I")
+SO_BINDTOIFINDEX = 62  # asm-generic/socket.h, since Linux 5.1; the socket module lacks it
+NO_INTERFACE = 0x7FFFFFFF  # an index that no interface has: they are counted from 1
 LINGER_ZERO = struct.pack("ii", 1, 0)  # SO_LINGER of 0 s: close sends a reset
 
 
@@ -67,6 +69,14 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return SocketPort(sock), (peer[0], peer[1])
 
+    def stop_handshakes(self) -> None:
+        """Refuse new connections on this listener. Raises OSError where the system cannot.
+
+        A listener bound to an interface that does not exist is not found for a SYN, which the system then answers as
+        for a closed port. A handshake under way knows its listener, and still ends in the accept queue.
+        """
+        self.sock.setsockopt(socket.SOL_SOCKET, SO_BINDTOIFINDEX, NO_INTERFACE)
+
     def recv(self, most: int) -> bytes | None:
         """Some bytes; none at the end of the stream. Raises OSError for what ends the connection."""
         try:
--- a/stepsail/loop/stream.py
+++ b/stepsail/loop/stream.py
@@ -16,6 +16,7 @@
     0.05  # s after an accept that failed for want of descriptors or memory; without it accept spins
 )
 BACKLOG = 1024  # connections that the system holds for accept
+HANDSHAKE_TIME = 0.01  # s for handshakes under way to end: some round trips to a client
 ROOM_CHECK_INTERVAL = 0.02  # s between looks whether a connection can make room, where none ends by itself
 
 
@@ -155,6 +156,7 @@
         self.room: Waiter | None = None  # the accepting task, while it waits for one of them to end
         self.handle: Callable[[Stream], Any] = _ignore
         self.name = "client"
+        self.finishing = False
 
     def serve(self, handle: Callable[[Stream], Any], name: str) -> None:
         """Accept until closed; each connection is handled by a task of its own."""
@@ -198,16 +200,39 @@
         return True
 
     def finish(self) -> bool:
-        """Accept all that waits in the backlog, then close; False while there is no room for one.
+        """Begin to close, after all that the system has accepted or is about to; whether it is closed by now.
 
-        A close resets the connections that wait in the backlog, with the complete requests that they may hold.
+        A close resets the connections that wait in the backlog, with the complete requests that they may hold. Accept
+        and close are two calls, so new connections are refused before the last one is accepted.
         """
+        if not self.finishing:
+            self.finishing = True
+            self._stop_handshakes()
+            self.loop.spawn(self._accept_rest, name=f"close the listener for {self.name}")
+        return self.port.closed
+
+    def _stop_handshakes(self) -> None:
+        if self.port.closed:
+            return
+        try:
+            self.port.stop_handshakes()
+        except OSError as error:  # one that comes between the last accept and the close is reset
+            self.loop.report("handshakes_not_stopped", error=str(error))
+
+    def _accept_rest(self) -> None:
+        self.loop.sleep(HANDSHAKE_TIME)
+        while not self._accept_backlog():
+            self.loop.sleep(ROOM_CHECK_INTERVAL)
+        self.close()
+
+    def _accept_backlog(self) -> bool:
+        """Accept all that waits; False while there is no room for one."""
         while not self.port.closed:
             if len(self.open) >= self.most:
                 return False
             try:
                 if not self._accept():
-                    self.close()
+                    return True
             except OSError:
                 return False
         return True
--- a/stepsail/simulation/network.py
+++ b/stepsail/simulation/network.py
@@ -96,7 +96,7 @@
             listener = self.listeners.get(to)
             if listener is not None and listener.silent:
                 return  # nobody answers, not even to refuse
-            if listener is None:
+            if listener is None or listener.refuses_handshakes:
                 self.at(
                     near.path,
                     self.simulator.now + self.delay(near.path),
--- a/stepsail/simulation/port.py
+++ b/stepsail/simulation/port.py
@@ -93,6 +93,10 @@
         """The next connection, of a listener."""
         raise self._unsupported()
 
+    def stop_handshakes(self) -> None:
+        """Refuse new connections, on a listener."""
+        raise self._unsupported()
+
     def recv(self, most: int) -> bytes | None:
         """Some bytes, of a stream."""
         raise self._unsupported()
--- a/stepsail/simulation/ports.py
+++ b/stepsail/simulation/ports.py
@@ -16,6 +16,7 @@
         super().__init__(driver, address)
         self.backlog = backlog
         self.pending: deque[StreamPort] = deque()
+        self.refuses_handshakes = False
 
     def ready(self, direction: int) -> bool:
         """Whether a wait in a direction would end now."""
@@ -30,6 +31,10 @@
         self.driver.adopt(port)
         return port, port.peer.address
 
+    def stop_handshakes(self) -> None:
+        """Refuse connects from now on; those that wait can be accepted."""
+        self.refuses_handshakes = True
+
     def gone(self, power_loss: bool) -> None:
         """Close: connections that wait are reset."""
         self.silent = power_loss
--- a/tests/endings/test_shutdown.py
+++ b/tests/endings/test_shutdown.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
+import errno
 import os
+import select
 import signal
 import socket
 import subprocess
@@ -20,7 +22,8 @@
 from rig import Rig, answers, hangs
 
 from stepsail.http.reader import MessageReader
-from stepsail.loop import Stream
+from stepsail.loop import Listener, Stream
+from stepsail.loop.socket_port import SocketPort
 from stepsail.platform.application import CONNECTING_CLIENTS_GRACE
 from stepsail.proxy.listener import ClientListener
 from stepsail.standins.instances import free_address
@@ -41,6 +44,61 @@
     PlatformRig(tmp_path, test, [answers()])
 
 
+def test_connection_between_the_last_accept_and_the_close_is_not_reset(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # The close of the listener reset what the system had accepted since the accept that found none.
+    real = Listener.close
+    clients: list[tuple[socket.socket, bool]] = []
+
+    def close(listener: Listener) -> None:
+        client = socket.socket()
+        client.setblocking(False)
+        client.connect_ex(listener.address)
+        select.select([], [client], [], 1.0)
+        connected = client.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == 0
+        if connected:
+            client.sendall(request("l1"))
+        clients.append((client, connected))
+        real(listener)
+
+    def test(rig: PlatformRig) -> None:
+        monkeypatch.setattr(Listener, "close", close)
+        rig.application.listener.close_after_responses()
+        rig.application.listener.begin_shutdown()
+        rig.wait_until(lambda: clients)
+        monkeypatch.undo()
+        ((client, connected),) = clients
+        assert not connected or b"200 OK" in read_all(rig.loop, client)
+        with pytest.raises(ConnectionRefusedError):
+            raw_client(rig)
+
+    PlatformRig(tmp_path, test, [answers()])
+
+
+def test_listener_that_cannot_stop_handshakes_closes_after_the_backlog(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def refused(port: SocketPort) -> None:
+        raise OSError(errno.ENOPROTOOPT, "not here")
+
+    def test(rig: PlatformRig) -> None:
+        monkeypatch.setattr(SocketPort, "stop_handshakes", refused)
+        clients = [raw_client(rig) for _ in range(5)]
+        for at, client in enumerate(clients):
+            client.sendall(request(f"f{at}"))
+        listener = rig.application.listener
+        listener.close_after_responses()
+        listener.begin_shutdown()
+        assert all(b"200 OK" in read_all(rig.loop, client) for client in clients)
+        rig.wait_until(listener.close_finished_connections)
+        assert "handshakes_not_stopped" in rig.log.events()
+        with pytest.raises(ConnectionRefusedError):
+            raw_client(rig)
+
+    PlatformRig(tmp_path, test, [answers()])
+
+
 def test_request_whose_connection_task_has_not_started_is_answered(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/tests/loop/test_sockets.py
+++ b/tests/loop/test_sockets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import os
 import resource
 import signal
@@ -165,6 +166,42 @@
     loop.run(main)
 
 
+def test_stopped_handshakes_leave_the_backlog_and_open_connections_as_they_are(loop: Loop) -> None:
+    def main() -> None:
+        listener = Listener(loop, HERE, 100)
+        served = list[bytes]()
+
+        def serve(stream: Stream) -> None:
+            while data := stream.read():
+                served.append(data)
+                stream.write(data)
+
+        loop.spawn(listener.serve, serve, "echo")
+        open_before, waiting = socket.create_connection(listener.address), socket.socket()
+        loop.sleep(0.01)
+        waiting.connect(listener.address)  # in the backlog as the handshakes stop
+        assert not listener.finish()
+        late = socket.socket()
+        late.setblocking(False)
+        assert late.connect_ex(listener.address) in (errno.EINPROGRESS, errno.ECONNREFUSED)
+        for client in (open_before, waiting):
+            client.sendall(b"a" * 20_000)
+            client.setblocking(False)
+        loop.sleep(0.2)
+        assert listener.finish() and sum(map(len, served)) == 40_000 and len(listener.open) == 2
+        for client in (open_before, waiting):
+            client.recv(100)
+            client.shutdown(socket.SHUT_WR)  # FIN without SYN passes as well
+        loop.sleep(0.05)
+        assert not listener.open
+        with pytest.raises(OSError):  # refused, and no byte of it taken
+            late.send(b"x")
+        for client in (open_before, waiting, late):
+            client.close()
+
+    loop.run(main)
+
+
 def test_a_full_listener_takes_the_next_when_one_ends(loop: Loop) -> None:
     seen: list[bytes] = []
 
--- a/tests/simulation/test_network.py
+++ b/tests/simulation/test_network.py
@@ -418,6 +418,30 @@
     assert len({tuple(order(seed)) for seed in range(8)}) > 3
 
 
+def test_a_listener_that_finishes_accepts_its_backlog_and_resets_nobody() -> None:
+    seen: list[bytes] = []
+
+    def far(loop: Loop) -> None:
+        listener = Listener(loop, AT, 100)
+        loop.spawn(listener.serve, lambda stream: seen.append(stream.read()), "peer")
+        loop.sleep(1.0)
+        assert not listener.finish()
+        loop.sleep(5.0)
+        assert listener.finish()
+
+    def near(loop: Loop) -> None:
+        loop.sleep(0.5)
+        early = Stream.connect(loop, AT, 1.0)
+        loop.sleep(0.505)
+        with pytest.raises(ConnectionRefusedError):
+            Stream.connect(loop, AT, 3.0)
+        early.write(b"early")
+        loop.sleep(0.1)
+
+    Lab().run(near, far)
+    assert seen == [b"early"]
+
+
 def test_an_address_in_use_is_refused_and_free_again_after_a_kill() -> None:
     lab = Lab()
 
