A client whose time has just passed gets its answer, not a reset

Cause: ResponseWriter.write_final reset from a quarter of the answer slack before the client's end on, with the answer in hand; RequestHandler reset what had lain unread past its time. A process that stands still across the give-up is some milliseconds late, and its client is still there.

--- a/stepsail/platform/client_protocol.py
+++ b/stepsail/platform/client_protocol.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import math
 import re
 
 from stepsail.decisions.interface import Idempotency
@@ -52,7 +53,7 @@
     """
 
     half_close_is_disconnect = True
-    reset_after_deadline = False
+    late_response_time = math.inf
     close_after_client_error = True
 
     def __init__(self, settings: InstanceSettings) -> None:
--- a/stepsail/proxy/client_protocol.py
+++ b/stepsail/proxy/client_protocol.py
@@ -29,12 +29,13 @@
 
     Attributes:
         half_close_is_disconnect: A client that closes its side is gone; else it may still read its response.
-        reset_after_deadline: A client whose time is over is reset; else it gets its response all the same.
+        late_response_time: Seconds after a client's time in which its response is still written; later the
+            connection is reset, as nobody waits for it.
         close_after_client_error: The connection ends after a request that could not be accepted.
     """
 
     half_close_is_disconnect: bool
-    reset_after_deadline: bool
+    late_response_time: float
     close_after_client_error: bool
 
     def parse_request(self, request: Request, ready: bool) -> ParsedRequest | Response:
--- a/stepsail/proxy/daemon_client_protocol.py
+++ b/stepsail/proxy/daemon_client_protocol.py
@@ -25,6 +25,7 @@
 JSON_CONTENT = (b"content-type", b"application/json")
 REJECTION_BODY = b'{"answer":"denied","again":"trying again is harmless","stay_away":%.3f}\n'
 FAILURE_BODY = b'{"answer":"errored","again":"nothing is promised: it may have run"}\n'
+LATE_RESPONSE_TIME = 0.5  # s after its time in which a client may still be there to read
 MAX_HASH_KEY_BYTES = 64  # what blake2b takes
 
 Page = Callable[[], Any]
@@ -40,7 +41,7 @@
     """
 
     half_close_is_disconnect = False
-    reset_after_deadline = True
+    late_response_time = LATE_RESPONSE_TIME
     close_after_client_error = False
 
     def __init__(self, settings: InstanceSettings, host: DecisionHost) -> None:
--- a/stepsail/proxy/request_handler.py
+++ b/stepsail/proxy/request_handler.py
@@ -57,7 +57,7 @@
         # Not every system tells their age; the loop's own pauses stand in for it. No client gets more time by this.
         age = stream.seconds_since_receive() or self.loop.unread_age()
         client_deadline = now + parsed.time_left - age
-        if client_deadline <= now and self.protocol.reset_after_deadline:
+        if client_deadline + self.protocol.late_response_time <= now:
             stream.abort()  # nobody waits any more, and nothing was started
             return ConnectionClose.DEADLINE_PASSED
         in_flight = self._begin(request, client_deadline)
--- a/stepsail/proxy/response_writer.py
+++ b/stepsail/proxy/response_writer.py
@@ -16,8 +16,7 @@
 from stepsail.proxy.serving_state import ServingState
 from stepsail.settings import InstanceSettings
 
-DELIVERY_SHARE = 0.25  # of the answer slack, for the way to the client: sent later, it may come too late
-LATE_WRITE_TIMEOUT = 0.05  # s to write a response whose client may be gone
+LATE_WRITE_TIMEOUT = 0.05  # s, at least, to write a response whose client may be gone
 DEADLINE_MARGIN = 0.1  # s before a request's deadline from which a failure counts as a time-out
 BAD_REQUEST_TIMEOUT = 1.0  # s to write the response to a bad request
 DRAIN_TIMEOUT = 0.5  # s in which bytes behind a response are read and thrown away
@@ -73,35 +72,36 @@
     def write_final(self, stream: Stream, in_flight: InFlightRequest, request_class: int) -> bool:
         """Record and write a request's final answer; whether the connection goes on.
 
-        Nothing is written after the client's time where the protocol says so, and no client may hold a response that
-        the audit trail lacks: then the connection is reset.
+        A client whose time has just passed may still be there, and gets its answer; once nobody waits, the connection
+        is reset. No client may hold a response that the audit trail lacks: then the connection is reset as well.
         """
         now = self.loop.now()
         assert in_flight.final_answer is not None
         self.host.final_answers[in_flight.final_answer] += 1
-        send_by = in_flight.client_deadline - self.settings.answer_slack * DELIVERY_SHARE
-        if now >= send_by and self.protocol.reset_after_deadline:
-            stream.abort()
-            self.log.warning(
-                "response_too_late",
-                request=in_flight.request_id,
-                late=round(now - in_flight.client_deadline, 3),
-            )
+        write_by = in_flight.client_deadline + self.protocol.late_response_time
+        if now >= write_by:
+            self._reset_too_late(stream, in_flight, now)
             return False
         response = self._final_response(in_flight, now)
-        if not self.audit.record_response(in_flight, request_class, response, in_flight.client_deadline):
+        record_by = in_flight.client_deadline if now < in_flight.client_deadline else write_by
+        if not self.audit.record_response(in_flight, request_class, response, record_by):
             stream.abort()
             self.log.warning("response_not_recorded", request=in_flight.request_id)
             self.host.forget_if_finished(in_flight)
             return False
         now = self.loop.now()
-        is_late = now >= send_by
-        if is_late and self.protocol.reset_after_deadline:
-            stream.abort()
+        if now >= write_by:
+            self._reset_too_late(stream, in_flight, now)
             return False
-        write_timeout = LATE_WRITE_TIMEOUT if is_late else in_flight.client_deadline - now
+        write_timeout = max(LATE_WRITE_TIMEOUT, in_flight.client_deadline - now)
         return self._send(stream, in_flight, response, write_timeout)
 
+    def _reset_too_late(self, stream: Stream, in_flight: InFlightRequest, now: float) -> None:
+        stream.abort()
+        late = round(now - in_flight.client_deadline, 3)
+        self.log.warning("response_too_late", request=in_flight.request_id, late=late)
+        self.host.forget_if_finished(in_flight)
+
     def _final_response(self, in_flight: InFlightRequest, now: float) -> Response:
         response = in_flight.response
         if response is None:
--- a/tests/verify/test_checker.py
+++ b/tests/verify/test_checker.py
@@ -253,6 +253,13 @@
     return lines + [{**relay, "t": 5.5 + i * 0.01, "id": f"x{i}", "work": 1.0} for i in range(12)]
 
 
+def stop_instance(start: float, end: float) -> Callable[[list[Line]], list[Line]]:
+    return add(
+        {"t": start, "at": "umpire", "what": "stopped", "umpire": 0},
+        {"t": end, "at": "umpire", "what": "continued", "umpire": 0},
+    )
+
+
 ALTERATIONS: list[tuple[str, Callable[[list[Line]], list[Line]], tuple[int, str]]] = [
     ("no answer", drop(id="0-0", what="answer"), (1, "never answered")),
     ("two answers", add(answer("0-0", 1.2)), (1, "answered twice")),
@@ -267,6 +274,20 @@
         in_sequence(drop(id="0-0", what="answer"), add(answer("0-0", 3.2))),
         (1, "answered late"),
     ),
+    (
+        "answer half a second late after a stop",
+        in_sequence(
+            drop(id="0-0", what="answer"), stop_instance(1.05, 3.5), add(answer("0-0", 3.6, what="late"))
+        ),
+        (1, "answered late"),
+    ),
+    (
+        "late answer of an instance that had stopped before",
+        in_sequence(
+            drop(id="0-0", what="answer"), stop_instance(0.1, 0.5), add(answer("0-0", 3.1, what="late"))
+        ),
+        (1, "answered late"),
+    ),
     ("answer without a request", add(answer("999-0", 3.0)), (1, "answer without a try")),
     ("attempt after the answer", add(repeated_attempt("0-0", "look", 0.5)), (1, "sent after the answer")),
     (
@@ -429,6 +450,12 @@
             ),
         ),
     ),
+    (
+        "late answer after a stop with the request in flight",
+        in_sequence(
+            drop(id="0-0", what="answer"), stop_instance(1.05, 3.2), add(answer("0-0", 3.3, what="late"))
+        ),
+    ),
     (
         "drain notified within the grace",
         add(
