No attempt is cancelled where that can only fail its request

What callers saw: 502, nothing is promised, for a keyed request whose server was slow and would still have answered; found behind the known failure of test_system_calls (5 of 14,400 requests there, in 40 copies at once). Cause: Router._leave_unresponsive_servers cancels the attempts at a server that has been silent for 0.5 s or more, so that another has them. Where the request is past its latency objective by then, dispatch gives it up; the cancelled attempt may have run, so the end is a failure. Evidence: all five have one attempt, cancelled by this instance, and end as too_late in the same moment or as they wait for a place. Change: Request.may_leave_server asks first whether another attempt may follow, or the end would be a rejection that promises a harmless retry. Tests: the new one fails without the change.

--- a/stepsail/decisions/request.py
+++ b/stepsail/decisions/request.py
@@ -169,6 +169,18 @@
             return RejectionReason.CLASS_STALLED
         return None
 
+    def may_leave_server(self) -> bool:
+        """Whether its attempts at a server that has fallen silent may be cancelled.
+
+        Another server must be able to have them. A request that would be given up fails if what was cancelled may
+        have run: then the silent server's answer is the only one that can still come.
+        """
+        if self.closed or not (
+            self.retry_is_safe() or self._reason_to_give_up(self.router.host.clock) is None
+        ):
+            return False
+        return any(s.available() and self.may_go_to(s) for s in self.router.pool.ready)
+
     def _too_late(self, now: float) -> bool:
         """Whether an answer in time is out of reach; a first attempt needs more time than a retry."""
         objective = self.request_class.latency_objective
@@ -184,8 +196,15 @@
         """
         self.rejection_reason = reason
         self.closed = True
+        if self.retry_is_safe():
+            self.router.host.reject(self, self.router.settings.max_retry_after)
+        else:
+            self.router.host.fail(self)
+
+    def retry_is_safe(self) -> bool:
+        """Whether the client may send the request again, whatever has run of it."""
         request_class = self.request_class
-        retry_is_safe = (
+        return (
             request_class.idempotency is Idempotency.IDEMPOTENT
             or (
                 request_class.idempotency is Idempotency.IDEMPOTENCY_KEY
@@ -193,10 +212,6 @@
             )
             or not any(a.may_have_run for a in self.attempts)
         )
-        if retry_is_safe:
-            self.router.host.reject(self, self.router.settings.max_retry_after)
-        else:
-            self.router.host.fail(self)
 
     def client_disconnected(self) -> None:
         """The client has left; nothing more is sent."""
--- a/stepsail/decisions/router.py
+++ b/stepsail/decisions/router.py
@@ -284,7 +284,7 @@
     def _leave_unresponsive_servers(self) -> None:
         """Eject servers that have fallen silent.
 
-        Their attempts are cancelled where another server may have them.
+        Their attempts are cancelled where their requests may leave them for another server.
         """
         used = dict.fromkeys(attempt.server for attempt in self.admission.in_flight)
         for server in [s for s in used if s.unresponsive()]:
@@ -295,5 +295,5 @@
 
     def _cancel_if_movable(self, attempt: Attempt) -> None:
         request = attempt.request
-        if not request.closed and any(s.available() and request.may_go_to(s) for s in self.pool.ready):
+        if request.may_leave_server():
             self.host.cancel_attempt(request, request.attempts.index(attempt))
--- a/tests/decisions/test_server.py
+++ b/tests/decisions/test_server.py
@@ -6,6 +6,9 @@
 
 from stepsail.decisions.interface import (
     AttemptOutcome,
+    DeduplicationScope,
+    Idempotency,
+    RequestClass,
 )
 
 
@@ -42,3 +45,22 @@
     other = FakeHost(builds=(1, 1)).servers[0]
     other.attempt_ended(AttemptOutcome.CONNECT_FAILED, 1.0, True)
     assert not other.available()
+
+
+def test_attempt_at_a_silent_server_is_cancelled_only_where_that_does_not_fail_the_request() -> None:
+    # An attempt was cancelled for another server; its request was too late for that, and failed as it may have run.
+    def cancelled(objective: float, idempotency: Idempotency, scope: DeduplicationScope) -> bool:
+        kind = RequestClass(0, objective, 3.0, 1.0, 0.0, idempotency, scope, 9.0)
+        host = FakeHost(builds=(1,) * 6, request_classes=(kind,))
+        request = host.accept(0)
+        host.advance(1.4)
+        assert not request.attempts[0].server.available() and not host.failed and not host.rejected
+        return request in host.cancelled
+
+    keyed, zone = Idempotency.IDEMPOTENCY_KEY, DeduplicationScope.ZONE
+    assert not cancelled(0.4, keyed, zone)  # another attempt would come too late
+    assert cancelled(1.2, keyed, zone)
+    assert not cancelled(1.2, Idempotency.NON_IDEMPOTENT, zone)
+    for objective in (0.4, 1.2):
+        assert cancelled(objective, keyed, DeduplicationScope.ALL)
+        assert cancelled(objective, Idempotency.IDEMPOTENT, zone)
