A call for the list that was turned away at once is made again sooner

Cause: discovery resets half of the watches in one instant; all call again at once, and 80 of 95 are turned away within 6 ms. CallPacing drew their next calls over 12 s, a window for calls that have stood in the queue, and leases end 5.5 s after the last word. The calls came up to 12 s later while discovery was idle. Change: a failure is told apart by what it cost (CallFailure): not accepted, turned away within 0.25 s, or waited.

--- a/stepsail/platform/endpoint_watch.py
+++ b/stepsail/platform/endpoint_watch.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from stepsail.decisions.call_pacing import CallPacing
+from stepsail.decisions.call_pacing import CallFailure, CallPacing
 from stepsail.decisions.list_lease import ListLease
 from stepsail.loop import Loop, Task
 from stepsail.platform.discovery_client import DiscoveryClient
@@ -126,7 +126,8 @@
                 self.loop.sleep(max(0.0, MIN_WATCH_INTERVAL - (self.loop.now() - started_at)))
                 continue
             self.host.call_router(self.host.router.endpoint_poll_failed)
-            self.loop.sleep(self.pacing.next_pause(watch.connected))
+            failure = CallFailure.of_call(watch.connected, self.loop.now() - watch.called_at)
+            self.loop.sleep(self.pacing.next_pause(failure))
             budget = USUAL_BUDGET
             calls_left = budget.calls
 
