The checker counts what an instance was told right before it stopped

Cause: History._delivered dates what was sent within 0.15 s before a stop by when the instance went on, as it may have been unread; _possible_states then left it out of what may have been in force before the stop. Evidence: stage 2 was told at 1017.092 s, a keyed attempt arrived at 1017.176, the instance stopped at 1017.188; a change counts as told once it is written. Change: a notification may have arrived from when it was sent, unless the instance stood still at that moment; when it surely has arrived stays as it was. Result: a doctored transcript that is allowed fails without the change; one in which the stage was told during the stop is still a breach.

--- a/stepsail/verify/exposure_rule.py
+++ b/stepsail/verify/exposure_rule.py
@@ -92,7 +92,7 @@
     settled = attempt.sent_at - history.settings.drain_grace - DELIVERY_SLACK
     possible: list[Line | None] = [None]
     for notification in history.release_notifications(attempt.instance):
-        if notification.line["t"] > attempt.sent_at + DELIVERY_SLACK:
+        if notification.may_have_arrived_at > attempt.sent_at + DELIVERY_SLACK:
             break
         if notification.received_by is not None and notification.received_by <= settled:
             possible = [notification.line]
--- a/stepsail/verify/history.py
+++ b/stepsail/verify/history.py
@@ -187,7 +187,10 @@
             states = self.release_states(instance)
             known = [
                 ReleaseNotification(
-                    line, self.received_by(instance, line, states), self._may_have_arrived(instance, line)
+                    line,
+                    self.received_by(instance, line, states),
+                    self._may_have_arrived(instance, line),
+                    self._earliest_arrival(instance, line),
                 )
                 for line in states
             ]
@@ -231,14 +234,22 @@
         )
 
     def _may_have_arrived(self, instance: int, line: Line) -> bool:
-        """Whether the instance can have received it: one killed within the slack may have acted on it before."""
-        at = line["t"]
+        """Whether the instance can have received it when it was sent.
+
+        One that was killed or stopped within the slack after that may have acted on it before.
+        """
+        at = self._earliest_arrival(instance, line)
         return not (
             self.faults.was_down(instance, at, at)
             or self.faults.was_cut((self.zone_of(instance), self.control_zone), at, at)
             or self.faults.was_partitioned(instance, line["at"], at, at, inbound=True)
         )
 
+    def _earliest_arrival(self, instance: int, line: Line) -> float:
+        """When a notification was sent, or when the instance went on, if it stood still as it was sent."""
+        sent_at = float(line.get("said", line["t"]))
+        return float(line["t"]) if self.faults.was_stopped(instance, sent_at, sent_at) else sent_at
+
     def was_read_late(self, attempt: Attempt, since: float) -> bool:
         """Whether the server stalled between that moment and the attempt, and so read late what came in time."""
         return self.faults.was_stalled(attempt.server, since - DELIVERY_SLACK, attempt.sent_at)
--- a/stepsail/verify/records.py
+++ b/stepsail/verify/records.py
@@ -77,3 +77,4 @@
     line: Line
     received_by: float | None  # when it had surely arrived; None where that is not known
     may_have_arrived: bool
+    may_have_arrived_at: float  # the earliest; an instance that was stopped meanwhile may have read it before
--- a/tests/verify/test_checker.py
+++ b/tests/verify/test_checker.py
@@ -260,6 +260,16 @@
     )
 
 
+def promote_before_stop(promoted_at: float, stopped_at: float) -> Callable[[list[Line]], list[Line]]:
+    """Stage 1 is told before the attempt of 60-0, now with a key, at 8.01, and the instance stops until 8.5."""
+    promoted = {"at": "conveyor", "what": "told", "umpire": 0, "build": 2, "stage": 1, "phase": "trial"}
+    return in_sequence(
+        lambda lines: [{**x, "product": "mark"} if x.get("id") == "60-0" else x for x in lines],
+        stop_instance(stopped_at, 8.5),
+        add({"t": promoted_at, **promoted, "cap": 1.0}),
+    )
+
+
 ALTERATIONS: list[tuple[str, Callable[[list[Line]], list[Line]], tuple[int, str]]] = [
     ("no answer", drop(id="0-0", what="answer"), (1, "never answered")),
     ("two answers", add(answer("0-0", 1.2)), (1, "answered twice")),
@@ -421,6 +431,11 @@
         lambda lines: [{**x, "product": "mark"} if x.get("id") == "60-0" else x for x in lines],
         (5, "guarded stage"),
     ),
+    (
+        "idempotent-only stage, promoted while it was stopped",
+        promote_before_stop(7.95, 7.9),
+        (5, "guarded stage"),
+    ),
 ]
 
 
@@ -477,6 +492,10 @@
             },
         ),
     ),
+    (
+        "promoted right before a stop",
+        promote_before_stop(7.95, 8.05),
+    ),
     (
         "notified while it was stopped",
         add(
