--- a/stepsail/decisions/call_pacing.py
+++ b/stepsail/decisions/call_pacing.py
@@ -5,9 +5,10 @@
 more: a metastable failure (Bronson et al. 2021). The pauses are therefore drawn over a window that grows with
 the size of the fleet up to a bound, and with each further failure (exponential back-off, full jitter).
 
-How a call failed tells what it has cost. One that was turned away at once stood in no queue; however many do so,
-the service goes on at its full rate. Such a call is made again soon enough to be served before the lease on the list
-ends. One that waited has had a turn in the queue, and the next one is paced by the size of the fleet.
+How a call failed tells what it has cost. One that was turned away at once stood in no queue; however many
+do so, the service goes on at its full rate. Such a call is made again soon enough to be served before the
+lease on the list ends. One that waited has had a turn in the queue, and the next one is paced by the size of
+the fleet.
 
 Seconds. No I/O.
 """
--- a/stepsail/decisions/request.py
+++ b/stepsail/decisions/request.py
@@ -149,8 +149,8 @@
     def may_leave_server(self) -> bool:
         """Whether its attempts at a server that has fallen silent may be cancelled.
 
-        Another server must be able to have them. A request that would be given up fails if what was cancelled may
-        have run: then the silent server's answer is the only one that can still come.
+        Another server must be able to have them. A request that would be given up fails if what was
+        cancelled may have run: then the silent server's answer is the only one that can still come.
         """
         if self.closed or not (
             self.retry_is_safe() or self._reason_to_give_up(self.router.host.clock) is None
