--- a/tests/decisions/test_list_lease.py
+++ b/tests/decisions/test_list_lease.py
@@ -90,6 +90,16 @@
     assert lease.usable_until() == 11.7 + CHANGE_COUNTS_AFTER - WRITE_DELAY
 
 
+def test_watch_lost_within_four_seconds_of_a_move_extends_nothing() -> None:
+    # What discovery has to tell counts 4 s after a new configuration, and nobody tells it any more.
+    lease = ListLease(ASKED)
+    lease.configuration_changed(11.0)
+    lease.address_read(11.0, moved=True)
+    lease.confirm(11.01, by_watch=True)
+    lease.watch_ended(11.02, by_peer=True)
+    assert lease.usable_until() <= 11.0 + MOVE_COUNTS_AFTER
+
+
 def test_a_configuration_that_stays_unread_counts_until_the_old_address_would_have_closed() -> None:
     lease = ListLease(ASKED)
     lease.confirm(10.0, by_watch=True)
--- a/tests/qualify/test_soak.py
+++ b/tests/qualify/test_soak.py
@@ -19,6 +19,13 @@
     assert report.statuses[200] > 500 and sum(report.faults.values()) > 8
 
 
+@pytest.mark.parametrize("seed", [12, 46])
+def test_no_rule_is_broken_in_a_run_that_broke_one(tmp_path: Path, seed: int) -> None:
+    # 12: the watch is lost right after a move; 46: more time is stated to a server than its client has.
+    report = run_soak(SoakPlan(seed, seconds=20.0, instances=4, clients=3), tmp_path / "soak")
+    assert not report.breaches, report.breaches[:3]
+
+
 def test_the_command_reports_each_run_and_rejects_too_many_processes(tmp_path: Path) -> None:
     asked = ["qualify", "run", "--seconds", "5", "--instances", "2", "--out", str(tmp_path), "--json"]
     done = CliRunner().invoke(main, asked)
