--- a/tests/decisions/test_call_pacing.py
+++ b/tests/decisions/test_call_pacing.py
@@ -80,7 +80,7 @@
     fleet_size: int, part: float, within: float
 ) -> None:
     # Half of a fleet lost its watch at one instant; the crowd was turned away, and called again over 12 s: their
-    # leases had ended by then, and 20 to 48 of some 200 instances refused all for over 4 s on a calm day.
+    # leases had ended by then, and 20 and more of some 200 instances refused all for over 4 s on a calm day.
     callers = max(1, int(fleet_size * part))
     served = served_by_a_service_that_turns_away(fleet_size, callers, fleet_size / SLOWEST_SERVICE)
     assert max(served) < within
