--- a/review/common/platform_stand_ins.py
+++ b/review/common/platform_stand_ins.py
@@ -299,7 +299,7 @@
             request_id = f"{self.name}-{sequence}"
             headers = {"x-call-id": request_id, "x-budget-ms": str(int(self.budget * 1000))}
             body = b""
-            if self.path.startswith("/record"):
+            if self.path.startswith(("/record", "/charge")):
                 headers["idempotency-key"] = f"key-{request_id}"
                 body = b"x" * 200
             method = "POST" if body else "GET"
