Review: a second answer that comes late is given to another caller

The daemon uses a connection again at once, where the platform's instance lets it rest for 25 ms. A box that sends one in a hundred answers twice, the second time 5 ms late, has callers get answers made for others.

--- a/review/common/daemon.py
+++ b/review/common/daemon.py
@@ -124,7 +124,7 @@
 
         await until(all_ready, timeout, "all umpires are ready")
 
-    async def client(self, umpire: int, name: str, delay: float) -> None:
+    async def client(self, umpire: int, name: str, delay: float, pause: float = 0.05) -> None:
         """Send one request after the other to an umpire that the case never tells to end."""
         await asyncio.sleep(delay)  # so that some requests are under way at any moment
         sequence = 0
@@ -152,14 +152,14 @@
             except TimeoutError:
                 end = "no answer in its time"
             writer.close()
-            self.record(request_id, "sent", f"{sent_at:.3f}", "to umpire", umpire, "answer:", end)
+            self.record(request_id, "sent", f"{sent_at:.3f}", "to umpire", umpire, "answer:", end, body[:60])
             if not end.isdigit():
                 self.broken.append(f"request {request_id}, taken by umpire {umpire}: {end}")
             elif end == "200" and body != b"served " + request_id.encode():
-                self.broken.append(f"request {request_id}: got {body!r}")
+                self.broken.append(f"request {request_id}: 200 with {body!r}")
             else:
                 self.answered += 1
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(pause)
 
     async def watch(self, seconds: float) -> None:
         """Wait; an umpire that ends and was not told to has crashed."""
--- a/review/common/lib.py
+++ b/review/common/lib.py
@@ -188,6 +188,13 @@
         await asyncio.sleep(0.05)
 
 
+async def _until_stopped(case: Awaitable[bool]) -> bool:
+    """Run the case; SIGTERM ends it, with all processes that it started."""
+    task = asyncio.ensure_future(case)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await task
+
+
 def main(folder: Path, case: Callable[[Record, Path, bool], Awaitable[bool]]) -> int:
     """Run a case; return 0 if the rule held, 1 if it was broken, 2 if the case could not run."""
     record = Record(folder / "record.txt")
@@ -195,8 +202,8 @@
     record("trouble:", trouble)
     with tempfile.TemporaryDirectory(prefix="stepsail-review-") as temporary:
         try:
-            held = asyncio.run(case(record, Path(temporary), trouble))
-        except (Failed, OSError, TimeoutError) as error:
+            held = asyncio.run(_until_stopped(case(record, Path(temporary), trouble)))
+        except (Failed, OSError, TimeoutError, asyncio.CancelledError) as error:
             record("could not run:", repr(error))
             return 2
     record("the rule held" if held else "the rule was broken")
