--- a/review/common/lib.py
+++ b/review/common/lib.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import select
 import signal
 import socket
 import subprocess
@@ -119,6 +120,17 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
+# For each open connection to a stand-in: whether further bytes have arrived on it.
+waiting: dict[asyncio.StreamWriter, Callable[[], bool]] = {}
+
+
+def _unread(writer: asyncio.StreamWriter) -> bool:
+    """Return whether bytes lie unread in the system's buffer of the connection."""
+    poller = select.poll()
+    poller.register(writer.get_extra_info("socket").fileno(), select.POLLIN)
+    return bool(poller.poll(0))
+
+
 Handle = Callable[[Request, asyncio.StreamWriter], Awaitable[bytes | None]]
 
 
@@ -126,6 +138,7 @@
     """Serve HTTP; `handle` returns the bytes of the answer, or None if it has dealt with the connection."""
 
     async def connection(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        waiting[writer] = lambda: bool(reader._buffer) or _unread(writer)
         try:
             while (message := await read_message(reader)) is not None:
                 method, target, _ = message[0].split(" ", 2)
@@ -137,6 +150,7 @@
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass  # the peer has gone, or the case is over
         finally:
+            waiting.pop(writer, None)
             writer.close()
 
     server = await asyncio.start_server(connection, HOST, port)
