--- a/review/common/daemon.py
+++ b/review/common/daemon.py
@@ -91,8 +91,11 @@
             self.umpires.append(Process(f"umpire {number}", command, log, self.record))
 
     async def _box(self, request: Request, writer: asyncio.StreamWriter) -> bytes:
+        request_id = request.headers["x-request-id"]
+        port = writer.get_extra_info("sockname")[1]
+        self.record(request_id, request.method, request.target, "runs at the box", port)
         await asyncio.sleep(self.service_time)
-        return answer(200, b"served " + request.headers["x-request-id"].encode())
+        return answer(200, b"served " + request_id.encode())
 
     async def _conveyor(self, request: Request, writer: asyncio.StreamWriter) -> bytes:
         if "after=0&" not in request.target:
--- a/review/common/lib.py
+++ b/review/common/lib.py
@@ -9,6 +9,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
@@ -209,9 +210,9 @@
     return await task
 
 
-def main(folder: Path, case: Callable[[Record, Path, bool], Awaitable[bool]]) -> int:
+def main(file: Path, case: Callable[[Record, Path, bool], Awaitable[bool]]) -> int:
     """Run a case; return 0 if the rule held, 1 if it was broken, 2 if the case could not run."""
-    record = Record(folder / "record.txt")
+    record = Record(Path(sys.argv[1]) if len(sys.argv) > 1 else file)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record("trouble:", trouble)
     with tempfile.TemporaryDirectory(prefix="stepsail-review-") as temporary:
