--- a/review/shared_2/rig.py
+++ b/review/shared_2/rig.py
@@ -10,6 +10,7 @@
 import contextlib
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -23,6 +24,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 HOST = "127.0.0.1"
+FIRST_PORT, LAST_PORT = 12000, 32000
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 HEARTBEAT = 2.0  # seconds between two signs of life of discovery
@@ -35,11 +37,29 @@
     """The case could not run, so it says nothing on the rule."""
 
 
+def port_is_free(port: int) -> bool:
+    """Return whether a TCP and UDP port of the loopback address is free."""
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as sock:
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                return False
+    return True
+
+
+def free_ports(count: int) -> int:
+    """Return the first of `count` consecutive ports that are free now, below those that the system hands out."""
+    for _ in range(1000):
+        first = random.randrange(FIRST_PORT, LAST_PORT - count)
+        if all(port_is_free(first + offset) for offset in range(count)):
+            return first
+    raise CannotRunError("no free ports")
+
+
 def free_port() -> int:
     """Return a port of the loopback address that is free now."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return int(sock.getsockname()[1])
+    return free_ports(1)
 
 
 class Record:
