--- a/review/shared_2/rig.py
+++ b/review/shared_2/rig.py
@@ -599,12 +599,12 @@
 
 
 def encode_call(call: Call) -> bytes:
-    """Encode a client's request: `record` is a POST with a key, all else a GET."""
+    """Encode a client's request: `record` and `refund` are a POST with a key, all else a GET."""
     common = (
         f"host: service.internal\r\nx-call-id: {call.request_id}\r\n"
         f"x-budget-ms: {int(call.budget * 1000)}\r\n"
     )
-    if call.path.startswith("/record"):
+    if call.path.startswith(("/record", "/refund")):
         return (
             f"POST {call.path} HTTP/1.1\r\n{common}idempotency-key: k-{call.request_id}\r\n"
             "content-length: 4\r\n\r\nbody"
