--- a/review/shared_2/rig.py
+++ b/review/shared_2/rig.py
@@ -521,7 +521,7 @@
     port: int
     calls: list[Call] = field(default_factory=list)
     idle: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = field(default_factory=list)
-    kept: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = field(default_factory=list)
+    kept: list[asyncio.Future[None]] = field(default_factory=list)
 
     async def send(self, path: str, budget: float, wait: float, keep: bool = True) -> Call:
         """Send a request and wait for the answer for `wait` seconds.
@@ -565,11 +565,10 @@
         return call
 
     async def send_once(self, budget: float) -> Call:
-        """Send one request on a connection of its own, which stays open and is not used again."""
+        """Send one request on a connection of its own, which stays open until the umpire closes it."""
         call = Call(f"o{os.getpid():x}{len(self.calls):06x}", "/lookup", self.record.now(), budget)
         self.calls.append(call)
         reader, writer = await asyncio.open_connection(HOST, self.port)
-        self.kept.append((reader, writer))
         call.sent_at = self.record.now()
         writer.write(encode_call(call))
         try:
@@ -582,8 +581,16 @@
             f"client that asks once: {call.request_id} budget {budget:.3f} s: answer {call.status} after "
             f"{call.ended_at - call.sent_at:.3f} s"
         )
+        self.kept.append(asyncio.ensure_future(self._keep(reader, writer)))
         return call
 
+    @staticmethod
+    async def _keep(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Keep a connection and send nothing on it, until the other side closes it."""
+        with contextlib.suppress(OSError):
+            await reader.read()
+        writer.close()
+
     async def _send_again(self, call: Call, wait: float) -> Call:
         reader, writer = await asyncio.open_connection(HOST, self.port)
         writer.write(encode_call(call))
