--- a/stepsail/qualify/instances.py
+++ b/stepsail/qualify/instances.py
@@ -5,6 +5,7 @@
 import signal
 import subprocess
 import tomllib
+from dataclasses import asdict, dataclass
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -18,11 +19,25 @@
 
 ROOT = Path(__file__).parents[2]
 DEPLOYMENT_FILE = ROOT / "deploy/balancer.toml"
-RESOURCE_LIMITS = {"cores": 0.5, "memory_mb": 64, "sockets": 256}
+BYTES_PER_KIB = 1024
 OLD_ADDRESS_CLOSES_AFTER = 1.5  # s after discovery moved to a new address, as on the platform
 REQUESTED_ENDS = frozenset((ProcessEvent.TERMINATED, ProcessEvent.KILLED, ProcessEvent.EXITED))
 
 
+@dataclass(frozen=True, slots=True)
+class ResourceLimits:
+    """Limits of one instance, by the names that the configuration file has for them."""
+
+    cores: float = 0.5
+    memory_mb: int = 64
+    sockets: int = 256
+
+
+USUAL_LIMITS = ResourceLimits()
+# The least memory that the platform gives an instance, with the most descriptors.
+LEAST_MEMORY = ResourceLimits(memory_mb=32, sockets=1024)
+
+
 class Instance:
     """One instance: its address, its configuration, and its current process.
 
@@ -42,10 +57,12 @@
         discovery: Discovery,
         release_control: str,
         settings: dict[str, Any],
+        limits: ResourceLimits = USUAL_LIMITS,
     ) -> None:
         self.loop = loop
         self.records = records
         self.name = name
+        self.limits = limits
         self.listen = free_address()
         self.process: subprocess.Popen[bytes] | None = None
         folder = folder / name
@@ -68,7 +85,7 @@
             "listen": "{}:{}".format(*self.listen),
             "discovery": self._discovery_address,
             "seed": f"{self._number + 1:016x}",
-            "limits": RESOURCE_LIMITS,
+            "limits": asdict(self.limits),
             "known": self._known_endpoints,
             "settings": self._settings,
             "deployer": {"address": self._release_control, "news": RELEASE_STATE},
@@ -107,6 +124,13 @@
     def _record(self, event: ProcessEvent) -> None:
         self.records.processes.append(ProcessRecord(self.loop.now(), self.name, event))
 
+    def peak_memory(self) -> int:
+        """Return the most memory that the current process has had resident, in bytes; 0 if it has ended."""
+        assert self.process
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        peak = next((line for line in status.splitlines() if line.startswith("VmHWM:")), "VmHWM: 0 kB")
+        return int(peak.split()[1]) * BYTES_PER_KIB
+
     def kill(self) -> None:
         """Send SIGKILL and wait until the process has ended."""
         assert self.process
--- a/tests/endings/test_clients.py
+++ b/tests/endings/test_clients.py
@@ -11,7 +11,7 @@
 
 import pytest
 from platform_rig import PlatformRig, encode_client_request, raw_client, read_all
-from rig import Rig, ScriptedServer, answers, hangs, hangs_up
+from rig import Rig, Script, ScriptedServer, answers, hangs, hangs_up
 
 from stepsail.http import ClientConnection, Request, ServerConnection
 from stepsail.loop import Stream
@@ -112,6 +112,110 @@
     PlatformRig(tmp_path, test, [hangs(1.0)])
 
 
+def hangs_up_after(seconds: float) -> Script:
+    """Return the script of a server that closes the connection without a response after a delay."""
+
+    def script(
+        server: ScriptedServer, stream: Stream, request: Request, connection: ServerConnection
+    ) -> bytes | None:
+        server.loop.sleep(seconds)
+        return None
+
+    return script
+
+
+def pipeline_until_blocked(rig: PlatformRig, client: socket.socket, prefix: str) -> None:
+    """Send requests until the instance reads no more and the buffers of both ends are full."""
+    data = b"".join(encode_client_request(f"{prefix}{number}") for number in range(2000))
+    client.setblocking(False)
+    blocked_since = rig.loop.now()
+    while rig.loop.now() < blocked_since + 0.05:
+        try:
+            client.send(data)
+            blocked_since = rig.loop.now()
+        except BlockingIOError:
+            rig.loop.sleep(0.01)
+
+
+def test_client_that_closes_behind_unread_requests_gets_no_further_attempt(tmp_path: Path) -> None:
+    def test(rig: PlatformRig) -> None:
+        client = raw_client(rig)
+        client.sendall(encode_client_request("f1"))
+        rig.wait_until(lambda: sum(len(server.seen) for server in rig.servers))
+        pipeline_until_blocked(rig, client, "p")
+        client.close()
+        rig.loop.sleep(0.1)
+        before = sum(len(server.seen) for server in rig.servers)
+        rig.loop.sleep(1.0)  # the attempt fails in the meantime
+        assert sum(len(server.seen) for server in rig.servers) == before
+        rig.wait_until(lambda: not rig.application.listener.listener.open_streams)  # type: ignore[union-attr]
+
+    PlatformRig(tmp_path, test, [hangs_up_after(0.25), hangs_up_after(0.25)])
+
+
+def test_every_pipelined_request_gets_one_response_however_many_there_are(tmp_path: Path) -> None:
+    def test(rig: PlatformRig) -> None:
+        client = raw_client(rig)
+        client.sendall(encode_client_request("f1"))
+        rig.wait_until(lambda: rig.servers[0].seen)
+        count = 1500  # more bytes than the instance reads ahead
+        client.sendall(b"".join(encode_client_request(f"p{number}") for number in range(count)))
+        received = b""
+        client.setblocking(False)
+        deadline = rig.loop.now() + 10.0
+        while received.count(b"HTTP/1.1 ") < count + 1 and rig.loop.now() < deadline:
+            try:
+                received += client.recv(1 << 20)
+            except BlockingIOError:
+                rig.loop.sleep(0.01)
+        statuses = received.count(b"HTTP/1.1 200"), received.count(b"HTTP/1.1 503")
+        assert sum(statuses) == count + 1 and statuses[0] >= 1, statuses
+        client.close()
+
+    PlatformRig(tmp_path, test, [hangs(0.1), answers()])
+
+
+def test_id_of_a_client_that_left_does_not_run_twice(tmp_path: Path) -> None:
+    def test(rig: PlatformRig) -> None:
+        client = raw_client(rig)
+        request = encode_client_request("r1")
+        client.sendall(request)
+        rig.wait_until(lambda: rig.servers[0].seen)
+        client.close()
+        rig.wait_until(lambda: not rig.application.host.in_flight)
+        assert rig.send_request(request_id="r1").status == 409
+        assert len(rig.servers[0].seen) == 1
+        assert rig.send_request(request_id="r2").status == 200
+
+    PlatformRig(tmp_path, test, [hangs(0.3)])
+
+
+def test_id_of_a_client_that_left_before_any_attempt_is_accepted(tmp_path: Path) -> None:
+    def test(rig: PlatformRig) -> None:
+        client = raw_client(rig)
+        client.sendall(encode_client_request("r1"))
+        client.close()
+        rig.wait_until(lambda: rig.application.host.final_answers[FinalAnswer.CANCELLED_BY_CLIENT])
+        assert not rig.servers[0].seen
+        assert rig.send_request(request_id="r1").status == 200
+
+    PlatformRig(tmp_path, test, [answers()])
+
+
+def test_pipelined_requests_of_one_client_leave_a_turn_to_the_others_after_each(tmp_path: Path) -> None:
+    def test(rig: PlatformRig) -> None:
+        client = raw_client(rig)
+        count = 1000
+        rounds = rig.loop.rounds
+        client.sendall(b"GET /_health HTTP/1.1\r\nhost: x\r\n\r\n" * count)
+        client.shutdown(socket.SHUT_WR)
+        received = read_all(rig.loop, client)
+        assert received.count(b"HTTP/1.1 200") == count
+        assert rig.loop.rounds - rounds >= count
+
+    PlatformRig(tmp_path, test, [answers()])
+
+
 def test_disconnected_client_of_a_waiting_request_frees_its_slot_at_once(tmp_path: Path) -> None:
     def test(rig: PlatformRig) -> None:
         # No capacity: all requests wait.
--- a/tests/incidents/process_fleet.py
+++ b/tests/incidents/process_fleet.py
@@ -13,7 +13,7 @@
 from stepsail.loop import Loop, PollDriver
 from stepsail.qualify.checks import SOCKET_SLACK
 from stepsail.qualify.clients import Client
-from stepsail.qualify.instances import Instance
+from stepsail.qualify.instances import USUAL_LIMITS, Instance, ResourceLimits
 from stepsail.qualify.platform_stand_in import Discovery, ReleaseControl, Server
 from stepsail.qualify.records import Records
 from stepsail.qualify.settings import DRAIN_GRACE, SETTINGS
@@ -28,9 +28,15 @@
     """
 
     def __init__(
-        self, folder: Path, size: int, test: Callable[[ProcessFleet], None], **overrides: Any
+        self,
+        folder: Path,
+        size: int,
+        test: Callable[[ProcessFleet], None],
+        limits: ResourceLimits = USUAL_LIMITS,
+        **overrides: Any,
     ) -> None:
         self.folder, self.size, self.test, self.settings = folder, size, test, SETTINGS | overrides
+        self.limits = limits
         self.records, driver = Records(), PollDriver()
         self.loop = Loop(driver, lambda event, **fields: None)
         try:
@@ -51,6 +57,7 @@
                 self.discovery,
                 release_control.address,
                 self.settings,
+                self.limits,
             )
             for number in range(self.size)
         ]
--- /dev/null
+++ b/tests/incidents/test_abusive_clients.py
@@ -0,0 +1,56 @@
+"""Tests on real processes that clients that break the protocol neither exhaust the memory nor stop service.
+
+The processes have the least memory that the platform gives, and the most descriptors.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+from process_fleet import ProcessFleet
+
+from stepsail.qualify.abusive_clients import AbusiveClients, Flood, Stall
+from stepsail.qualify.checks import find_crashes, find_unanswered
+from stepsail.qualify.instances import LEAST_MEMORY
+
+BYTES_PER_MB = 1_000_000
+STALLED_CLIENTS = 600  # more than an instance has places for
+ABUSE_TIME = 4.0  # s
+LEAST_SHARE_SERVED = 0.5  # of the other clients' requests
+
+
+def run_beside_other_clients(folder: Path, start: Callable[[AbusiveClients], None]) -> None:
+    """Run one instance with abusive clients; check its memory, and the answers of the other clients."""
+
+    def test(fleet: ProcessFleet) -> None:
+        instance = fleet.instances[0]
+        abusive = AbusiveClients(fleet.loop, instance.listen, "abusive")
+        started_at = fleet.loop.now()
+        start(abusive)
+        fleet.loop.sleep(ABUSE_TIME)
+        abusive.is_over = True
+        fleet.wait_until(lambda: fleet.served_since(instance, fleet.loop.now() - 0.1), 3.0)
+        requests = [client for client in fleet.records.clients if client.sent_at >= started_at]
+        served = sum(request.status == 200 for request in requests)
+        instance.record_unexpected_exit()
+        assert not list(find_crashes(fleet.records)), fleet.logs()
+        assert "task_failed" not in instance.log.read_text()
+        assert instance.peak_memory() <= LEAST_MEMORY.memory_mb * BYTES_PER_MB
+        assert not list(find_unanswered(fleet.records))
+        assert served >= LEAST_SHARE_SERVED * len(requests) and served > 20, (served, len(requests))
+
+    ProcessFleet(folder, 1, test, LEAST_MEMORY)
+
+
+@pytest.mark.parametrize("stall", Stall, ids=lambda stall: stall.name.lower())
+def test_stalled_requests_of_hundreds_of_clients_stay_within_the_memory_limit(
+    tmp_path: Path, stall: Stall
+) -> None:
+    run_beside_other_clients(tmp_path, lambda clients: clients.stall(stall, STALLED_CLIENTS))
+
+
+@pytest.mark.parametrize("flood", Flood, ids=lambda flood: flood.name.lower())
+def test_flood_on_one_connection_leaves_other_clients_their_answers(tmp_path: Path, flood: Flood) -> None:
+    run_beside_other_clients(tmp_path, lambda clients: clients.flood(flood))
