Log the resources in use and the client of each bad request

Change: a `resources` line every 5 s with connections, requests in flight and resident bytes; `bad_request` names the client's address.

--- a/stepsail/platform/__main__.py
+++ b/stepsail/platform/__main__.py
@@ -20,6 +20,7 @@
 from stepsail.platform.configuration import REREAD_INTERVAL, PlatformConfiguration, read_configuration
 from stepsail.platform.errors import InvalidConfiguration
 from stepsail.platform.json_log import JsonLog
+from stepsail.proxy.process_memory import resident_bytes
 
 START_READ_ATTEMPTS = 6
 # Thresholds of Python's garbage collector. The first is the number of new objects that triggers a collection
@@ -69,6 +70,7 @@
         application = PlatformApplication(
             loop, configuration, Router, log, read, unix_offset=lambda: driver.wall_clock() - driver.now()
         )
+        application.resident_bytes = resident_bytes
         return int(loop.run(application.run))
     except Exception as error:  # any failure must be in the last log line
         _report_failure(log, error)
--- a/stepsail/proxy/listener.py
+++ b/stepsail/proxy/listener.py
@@ -63,6 +63,10 @@
         )
         self.loop.spawn(self.listener.serve, self.serve_client, "client", name="accept", essential=True)
 
+    def connection_count(self) -> int:
+        """Return the number of open client connections."""
+        return len(self.listener.open_streams) if self.listener else 0
+
     def close_after_responses(self) -> None:
         """Continue to serve, but close each connection after its next response."""
         self.state.closes_after_response = True
--- a/stepsail/proxy/response_writer.py
+++ b/stepsail/proxy/response_writer.py
@@ -21,6 +21,7 @@
 # A request that fails within this many seconds before its deadline, or later, is reported as timed out.
 DEADLINE_MARGIN = 0.1
 BAD_REQUEST_TIMEOUT = 1.0  # timeout in seconds for writing the response to an invalid request
+MAX_LOGGED_REASON = 200  # longest reason in a log line, in characters
 # Longest time in seconds for which bytes that arrive after the last response are read and discarded.
 LINGER_TIMEOUT = 0.5
 MAX_LINGER_BYTES = 4 << 20  # largest number of bytes read and discarded after the last response
@@ -53,7 +54,9 @@
             response = self.protocol.error_response(error.status, str(error))
             stream.write(self._encode(response, None, keep_alive=False), BAD_REQUEST_TIMEOUT)
             self._lingering_close(stream)
-        self.log.debug("bad_request", status=error.status, reason=str(error)[:200])
+        client = "{}:{}".format(*stream.peer)
+        reason = str(error)[:MAX_LOGGED_REASON]
+        self.log.debug("bad_request", client=client, status=error.status, reason=reason)
 
     def write_unforwarded(self, stream: Stream, request: Request, response: Response) -> bool:
         """Answer a request that is not forwarded, without waiting for the rest of its body.
--- a/stepsail/proxy/serving_process.py
+++ b/stepsail/proxy/serving_process.py
@@ -4,7 +4,7 @@
 
 import signal
 from abc import ABC, abstractmethod
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import NoReturn
 
 from stepsail.decisions.interface import MakeRouter, ServerHandle, Verdict
@@ -21,7 +21,8 @@
 from stepsail.settings import InstanceSettings
 
 POLL_INTERVAL = 0.02  # seconds between two checks of a condition that no event signals
-# Seconds between two log lines with the counts of requests, attempts and closed connections.
+# Seconds between two log lines with the counts of requests, attempts and closed connections, and between two
+# with the resources in use.
 COUNTERS_INTERVAL = 5.0
 # Requests that are still in flight this many seconds before the end of the shutdown timeout are failed.
 FINAL_ANSWER_MARGIN = 0.1
@@ -29,11 +30,18 @@
 EXIT_UNANSWERED = 3  # the shutdown timeout expired before every request was answered
 
 
+def _unknown_size() -> int:
+    return 0
+
+
 class ServingProcess(ABC):
     """Carries out the router's commands with one listener and one pool of connections to servers.
 
     Each subclass has its own release control, endpoint discovery and peer messages. A subclass creates its
     protocols and then calls `connect_protocols`.
+
+    Attributes:
+        resident_bytes: Returns the memory that this process has resident, in bytes; 0 if it is not known.
     """
 
     upstream_pool: UpstreamPool
@@ -55,6 +63,7 @@
         self.log = log
         self.host = DecisionHost(loop, settings, log, log_attempts)
         self.stop_requested = Event(loop)
+        self.resident_bytes: Callable[[], int] = _unknown_size
 
     def connect_protocols(
         self, client_protocol: ClientProtocol, upstream_protocol: UpstreamProtocol, audit: RequestAudit
@@ -182,16 +191,27 @@
     # -- log ---------------------------------------------------------------------------------------------
 
     def log_counters_periodically(self) -> NoReturn:
-        """Log the counts of requests, attempts and closes every COUNTERS_INTERVAL seconds; never return."""
+        """Log counts and the resources in use every COUNTERS_INTERVAL seconds; never return."""
         while True:
             self.loop.sleep(COUNTERS_INTERVAL)
             self.log_counters()
+            self.log_resources()
 
     def log_counters(self) -> None:
         """Log the counts of requests, attempts and closes since the last such log line, if any is nonzero."""
         if counts := self.host.counters.collect_and_reset():
             self.log.info("counters", **counts)
 
+    def log_resources(self) -> None:
+        """Log how many connections, requests in flight and bytes of memory this process has now."""
+        self.log.info(
+            "resources",
+            client_connections=self.listener.connection_count(),
+            server_connections=self.upstream_pool.open_connections,
+            in_flight=len(self.host.in_flight),
+            resident_bytes=self.resident_bytes(),
+        )
+
     def log_shutdown(self) -> None:
         """Log the counts not logged yet, and the number of requests for each kind of final answer."""
         self.log_counters()
