Give other tasks a turn after each pipelined request and interim response

Callers saw: beside one client that pipelines at full speed, requests of others answered late or never, and the heartbeats of discovery and release control read late. Cause: the loop counts reads, not messages. A request that lies in the connection's buffer is read without a wait, so that a task went on for 16 reads of 64 KiB, thousands of requests, before any other had a turn. The same held for interim responses of a server. Evidence: 1,000 pipelined requests took 3 rounds of the loop, 500 interim responses 8; turns of 0.56 s logged. Change: ServerConnection.next and the reading of interim responses yield once for each message in the buffer. A client that waits for its answers never has one there, so the usual path is as before.

--- a/stepsail/http/client_connection.py
+++ b/stepsail/http/client_connection.py
@@ -180,6 +180,8 @@
             if reader.status == HTTPStatus.SWITCHING_PROTOCOLS:
                 raise InvalidMessage(400, "the server switched protocols without being asked to")
             reader.reset(no_body)
+            if reader.buffer:
+                self.loop.yield_turn()  # a server may send any number of interim responses at once
             reader.feed(b"")
 
     def _read(self, deadline: float) -> bytes:
--- a/stepsail/http/server_connection.py
+++ b/stepsail/http/server_connection.py
@@ -67,6 +67,9 @@
         if reader.complete:
             reader.reset()
         if reader.buffer:
+            # The bytes of this request are here already, so that reading it would not wait. A client that
+            # pipelines would otherwise keep the loop until all that it has sent is answered.
+            self.loop.yield_turn()
             reader.feed(b"")
         deadline = self.first_request_deadline
         self.first_request_deadline = 0.0
--- a/tests/endings/test_servers.py
+++ b/tests/endings/test_servers.py
@@ -13,7 +13,14 @@
 
 import pytest
 from platform_configuration import SETTINGS
-from platform_rig import PlatformRig, encode_client_request, endpoint_record, raw_client, read_all
+from platform_rig import (
+    PlatformRig,
+    encode_client_request,
+    endpoint_record,
+    raw_client,
+    read_all,
+    responds_with,
+)
 from rig import ScriptedServer, answers, hangs
 
 from stepsail.decisions.exposure import Exposure
@@ -285,3 +292,14 @@
 
     one_way = SETTINGS | {"Domain": SETTINGS["Domain"] | {"OneWay": True}}
     PlatformRig(tmp_path, test, [answers(), answers()], settings=one_way)
+
+
+def test_interim_responses_of_one_server_leave_a_turn_to_others_after_each(tmp_path: Path) -> None:
+    interim_responses = b"HTTP/1.1 103 Early Hints\r\n\r\n" * 500
+
+    def test(rig: PlatformRig) -> None:
+        rounds = rig.loop.rounds
+        assert rig.send_request().status == 200
+        assert rig.loop.rounds - rounds >= 500
+
+    PlatformRig(tmp_path, test, [responds_with(interim_responses + encode_response(200, [], b"ok"))])
