Keep the body of a message in one array, not in a list of its parts

Callers saw: with hundreds of clients that sent bodies in chunks of two bytes the process took 1,000 MB, and stood still for seconds as it made and freed the objects. MessageReader kept each part that the parser reported as an object of its own: 56 bytes for two bytes of a body, 1.8 MB for one within the limit of 64 KiB. Change: parts go to one bytearray, which is taken as a whole.

--- a/stepsail/http/client_connection.py
+++ b/stepsail/http/client_connection.py
@@ -54,7 +54,7 @@
         connection = self.connection
         self.read_started = True
         reader = connection.reader
-        while not reader.parts and not reader.complete:
+        while not reader.body and not reader.complete:
             data = connection.stream.read(timeout)
             if data:
                 reader.feed(data)
--- a/stepsail/http/reader.py
+++ b/stepsail/http/reader.py
@@ -59,7 +59,8 @@
     Attributes:
         reads_requests: Whether the messages are requests; otherwise, they are responses.
         buffer: Received bytes that were not assigned to a message yet.
-        parts: Parts of the body that were read and not taken yet.
+        body: The part of the body that was read and not taken yet. It is one array: bodies may arrive in parts
+            of a few bytes, and objects for each of them would take many times their size.
         body_bytes: Number of bytes of the body that were read.
         complete: Whether the message was read in full.
         wire_bytes: Number of bytes received for a chunked body, including its framing. Before the head is
@@ -84,7 +85,7 @@
         self.remaining_bytes = 0  # bytes of a body of known length that were not read yet
         self.wire_bytes = 0
         self.headers: Headers = []
-        self.parts: list[bytes] = []
+        self.body = bytearray()
         self.body_bytes = 0
         self.parser_finished = False  # the parser has reached the end of the message
         # The parser has received the start of another message after the end of this one.
@@ -117,7 +118,7 @@
         """Handle a part of the body."""
         if not self.parser_finished:
             self.body_bytes += len(part)
-            self.parts.append(part)
+            self.body += part
 
     def on_message_complete(self) -> None:
         """Handle the end of the message."""
@@ -130,8 +131,8 @@
 
     def take_body(self) -> bytes:
         """Return the parts of the body that were read, and remove them from the reader."""
-        body = b"".join(self.parts)
-        self.parts = []
+        body = bytes(self.body)
+        self.body = bytearray()
         return body
 
     @property
--- a/stepsail/http/server_connection.py
+++ b/stepsail/http/server_connection.py
@@ -30,7 +30,7 @@
         """
         reader = self.connection.reader
         self.read_started = True
-        while not reader.parts and not reader.complete:
+        while not reader.body and not reader.complete:
             data = self.connection.stream.read(timeout)
             if not data:
                 raise InvalidMessage(400, "the stream ended inside a request")
--- a/tests/http/test_reader.py
+++ b/tests/http/test_reader.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import tracemalloc
 from itertools import pairwise
 
 import pytest
@@ -216,3 +217,16 @@
         None,
         len(body),
     )
+
+
+def test_body_in_tiny_chunks_takes_little_more_memory_than_its_bytes() -> None:
+    reader = MessageReader(True, ConnectionLimits(body_bytes=65536))
+    reader.feed(b"POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n")
+    tracemalloc.start()
+    try:
+        for _ in range(64):
+            reader.feed(b"2\r\nab\r\n" * 500)
+        held_bytes, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert reader.body_bytes == 64000 and held_bytes < 2 * reader.body_bytes
