Free the places of answered clients first, and tell each slow client once

A connection stayed among those that wait for a request while its error was written and for up to 0.5 s after it. So it was chosen again as the slowest, and the second 503 was raised in the task that had answered already; its place was free only then, one place for each check.

--- a/stepsail/http/server_connection.py
+++ b/stepsail/http/server_connection.py
@@ -44,6 +44,11 @@
     """Reads requests from a stream.
 
     Pipelined requests are buffered up to MAX_PIPELINED bytes; anything beyond that is left unread.
+
+    Attributes:
+        half_closed: Whether the client has closed its sending side.
+        partial_since: When the first byte of the incomplete request that is being read was handled; None
+            while none is being read.
     """
 
     def __init__(self, loop: Loop, stream: Stream, limits: ConnectionLimits) -> None:
@@ -51,7 +56,9 @@
         self.stream = stream
         self.limits = limits
         self.reader = MessageReader(True, limits)
-        self.half_closed = False  # the client has closed its sending side
+        self.half_closed = False
+        self.partial_since: float | None = None
+        self._abandoned: InvalidMessage | None = None
         self.first_request_deadline = (
             loop.now() + limits.first_request_timeout if limits.first_request_timeout else 0.0
         )
@@ -60,9 +67,16 @@
         """Return the next request; None if the client has closed its side or was idle for too long.
 
         Raises:
-            InvalidMessage: The request is invalid, truncated, exceeds a limit or arrived too slowly.
+            InvalidMessage: The request is invalid, truncated, exceeds a limit or arrived too slowly, or it
+                was abandoned.
             OSError: The connection failed.
         """
+        try:
+            return self._read_request()
+        finally:
+            self.partial_since = None
+
+    def _read_request(self) -> Request | None:
         reader = self.reader
         if reader.complete:
             reader.reset()
@@ -75,12 +89,15 @@
         self.first_request_deadline = 0.0
         continue_sent = False
         while not reader.complete and not reader.streaming:
-            if reader.begun and not deadline:
-                deadline = self.loop.now() + self.limits.request_timeout
+            if reader.begun and self.partial_since is None:
+                self.partial_since = self.loop.now()
+                deadline = deadline or self.partial_since + self.limits.request_timeout
             if reader.expects_continue and not continue_sent:
                 continue_sent = True
                 self.stream.write(CONTINUE, self.limits.request_timeout)
             data = self._read(deadline)
+            if self._abandoned is not None:
+                raise self._abandoned
             if not data:
                 if data is not None and reader.begun:
                     raise InvalidMessage(400, "the stream ended inside a request")
@@ -136,6 +153,12 @@
             self.reader.buffer += data
         return not (self.half_closed or self.stream.peer_closed())
 
+    def abandon_request(self, error: InvalidMessage) -> None:
+        """Free the received part of a request; the task that reads it gets `error` at its next turn."""
+        self._abandoned = error
+        self.partial_since = None
+        self.discard()
+
     def discard(self) -> None:
         """Free the received bytes; call this when no request will be read from the connection any more."""
         self.reader.discard()
--- a/stepsail/proxy/counters.py
+++ b/stepsail/proxy/counters.py
@@ -18,6 +18,7 @@
     AFTER_RESPONSE = "the response announced that the connection closes after it"
     CLIENT_DISCONNECTED = "the client closed the connection while its request was in flight"
     DEADLINE_PASSED = "the request's deadline had passed before the request could be accepted"
+    WRITE_TIMED_OUT = "the client did not read a response in time"
     IO_ERROR = "a read or a write on the connection failed"
     EVICTED = "the client was silent, and the connection was closed to make room for another"
     SHUTTING_DOWN = "no answer was owed on the connection when this instance shut down"
--- a/stepsail/proxy/listener.py
+++ b/stepsail/proxy/listener.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from stepsail.http import ConnectionLimits, InvalidMessage, Request, Response, ServerConnection
-from stepsail.loop import Closed, Listener, Loop, Stream
+from stepsail.loop import Closed, Listener, Loop, Stream, TimedOut
 from stepsail.proxy.admission import RequestAdmission
 from stepsail.proxy.client_protocol import ClientProtocol
 from stepsail.proxy.connection_reaper import ConnectionReaper, PendingConnection
@@ -99,6 +99,9 @@
         except OSError:
             self.host.counters.count_close(ConnectionClose.IO_ERROR)
             raise
+        except TimedOut:  # the client does not read what it is sent
+            self.host.counters.count_close(ConnectionClose.WRITE_TIMED_OUT)
+            stream.abort()
         finally:
             connection.discard()
 
@@ -114,8 +117,8 @@
             try:
                 request = connection.next()
             except InvalidMessage as error:
-                self.writer.write_bad_request(stream, error)
-                return ConnectionClose.BAD_REQUEST
+                invalid = error.with_traceback(None)  # the traceback's frames refer to the received bytes
+                break
             finally:
                 pending_connections.pop(stream, None)
             if request is None:
@@ -124,6 +127,17 @@
             if reason is not None:
                 return reason
             pending_connections = self.reaper.idle
+        connection.discard()
+        return self._answer_invalid(stream, invalid)
+
+    def _answer_invalid(self, stream: Stream, error: InvalidMessage) -> ConnectionClose:
+        """Answer an invalid request with an error; the connection may then be closed to make room."""
+        self.reaper.lingering[stream] = self.loop.now()
+        try:
+            self.writer.write_bad_request(stream, error)
+        finally:
+            self.reaper.lingering.pop(stream, None)
+        return ConnectionClose.BAD_REQUEST
 
     def _serve_request(
         self, connection: ServerConnection, stream: Stream, request: Request
--- a/stepsail/proxy/response_writer.py
+++ b/stepsail/proxy/response_writer.py
@@ -50,13 +50,13 @@
 
     def write_bad_request(self, stream: Stream, error: InvalidMessage) -> None:
         """Answer bytes that are not a valid request with an error; the connection is unusable afterwards."""
+        client = "{}:{}".format(*stream.peer)
+        reason = str(error)[:MAX_LOGGED_REASON]
+        self.log.debug("bad_request", client=client, status=error.status, reason=reason)
         if not stream.port.closed:
             response = self.protocol.error_response(error.status, str(error))
             stream.write(self._encode(response, None, keep_alive=False), BAD_REQUEST_TIMEOUT)
             self._lingering_close(stream)
-        client = "{}:{}".format(*stream.peer)
-        reason = str(error)[:MAX_LOGGED_REASON]
-        self.log.debug("bad_request", client=client, status=error.status, reason=reason)
 
     def write_unforwarded(self, stream: Stream, request: Request, response: Response) -> bool:
         """Answer a request that is not forwarded, without waiting for the rest of its body.
