Limit the bytes of all messages in progress by the process's memory limit

Callers saw: with hundreds of clients that write slowly, stop half way through a large request or send heads of many short fields, the process passed its limit and was killed: 48 to 254 MB resident of 32. `limits.memory_mb` was never read. Each connection had limits of its own (16 KiB head, 64 KiB body, 64 KiB read ahead), and descriptors alone bounded their number; the last bytes read of each connection were held until its next read, 64 KiB more where an error had been answered. Change: a budget that all connections share, a share of the memory left after the start, as are the numbers of connections and requests. Where it is exceeded, arriving requests that hold an average share or more are rejected with 503 and Retry-After, the earliest first; then clients that do not read; whole requests without room are rejected before any attempt, responses over 4 KiB wait at their server. Nothing that may have run is rejected. Still red: bodies in tiny chunks, which keep the processor.

--- a/stepsail/decisions/interface.py
+++ b/stepsail/decisions/interface.py
@@ -40,6 +40,7 @@
     NOT_READY = "this instance has not begun to serve"
     SHUTTING_DOWN = "this instance is about to stop"
     IN_FLIGHT_LIMIT = "as many requests are open as the limits allow"
+    MEMORY_LIMIT = "the messages in progress hold as much memory as the limits allow"
     NO_POLICY = "no policy is in force to take it by"
     TRAIL_UNAVAILABLE = "the audit trail takes nothing new"
 
--- a/stepsail/http/__init__.py
+++ b/stepsail/http/__init__.py
@@ -4,6 +4,7 @@
 receive them are limited.
 """
 
+from stepsail.http.buffer_budget import BufferAccount, BufferBudget
 from stepsail.http.client_connection import ClientConnection, Progress
 from stepsail.http.message import (
     BodyStream,
@@ -19,6 +20,8 @@
 
 __all__ = [
     "BodyStream",
+    "BufferAccount",
+    "BufferBudget",
     "ClientConnection",
     "ConnectionLimits",
     "InvalidMessage",
--- a/stepsail/http/client_connection.py
+++ b/stepsail/http/client_connection.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 
+from stepsail.http.buffer_budget import BufferAccount, BufferBudget
 from stepsail.http.message import (
     FIRST_FINAL_STATUS,
     BodyStream,
@@ -16,6 +17,11 @@
 from stepsail.http.reader import MessageReader
 from stepsail.loop import Loop, Stream, TimedOut
 
+# Number of bytes of a response that are read even if there is no room, because most responses are not larger.
+FREE_RESPONSE_BYTES = 4096
+READ_SIZE = 16384  # bytes per read; a response that is larger may have to wait for room
+ROOM_CHECK_INTERVAL = 0.01  # seconds between two checks whether there is room for more of a response
+
 
 @dataclass(slots=True)
 class Progress:
@@ -76,9 +82,12 @@
         never_used: Whether no exchange was started on the connection yet.
         usable: Whether another exchange may be started on the connection.
         all_sent: Whether the last request was sent in full.
+        account: The bytes held for the response that is being read.
     """
 
-    def __init__(self, loop: Loop, stream: Stream, limits: ConnectionLimits) -> None:
+    def __init__(
+        self, loop: Loop, stream: Stream, limits: ConnectionLimits, budget: BufferBudget | None = None
+    ) -> None:
         self.loop = loop
         self.stream = stream
         self.limits = limits
@@ -87,6 +96,7 @@
         self.never_used = True
         self.usable = True
         self.all_sent = True
+        self.account = BufferAccount(budget or BufferBudget())
 
     def stale(self) -> bool:
         """Return whether an idle connection has ended, or has received bytes that answer no request."""
@@ -132,6 +142,7 @@
         try:
             try:
                 self._send_request(data, deadline, progress, body_stream, chunked)
+                data = b""  # frees the copy while the response is awaited
             except (BrokenPipeError, ConnectionResetError):
                 if stream.sent == sent_before:
                     raise
@@ -144,6 +155,7 @@
             self.used_at = self.loop.now()
         progress.unread_for = stream.seconds_since_receive()
         response = self.reader.take_response()
+        self.account.set(0)
         self.all_sent = progress.written == progress.total and (body_stream is None or body_stream.done)
         if self.reader.complete:
             self.end_exchange()
@@ -169,12 +181,9 @@
         reader = self.reader
         while True:
             while not reader.complete and not reader.streaming:
-                part = self._read(deadline)
-                progress.read += len(part)
-                if part:
-                    reader.feed(part)
-                else:
-                    reader.end()
+                self._feed_next(deadline, progress)
+                if reader.held_bytes() > FREE_RESPONSE_BYTES:
+                    self._wait_for_room(deadline)
             if reader.status >= FIRST_FINAL_STATUS:
                 return
             if reader.status == HTTPStatus.SWITCHING_PROTOCOLS:
@@ -184,13 +193,33 @@
                 self.loop.yield_turn()  # a server may send any number of interim responses at once
             reader.feed(b"")
 
+    def _feed_next(self, deadline: float, progress: Progress) -> None:
+        part = self._read(deadline)
+        progress.read += len(part)
+        if part:
+            self.reader.feed(part)
+        else:
+            self.reader.end()
+
+    def _wait_for_room(self, deadline: float) -> None:
+        """Charge the bytes received, and leave the rest of the response unread while there is no room.
+
+        Raises:
+            TimedOut: There was no room until the deadline.
+        """
+        self.account.set(self.reader.held_bytes())
+        while not (self.account.budget.reclaim_for_responses() or self.reader.complete):
+            if self.loop.now() >= deadline:
+                raise TimedOut
+            self.loop.sleep(ROOM_CHECK_INTERVAL)
+
     def _read(self, deadline: float) -> bytes:
         try:
-            return self.stream.read(max(0.0, deadline - self.loop.now()))
+            return self.stream.read(max(0.0, deadline - self.loop.now()), READ_SIZE)
         except TimedOut:
             # Bytes that became readable in the same iteration of the loop as the timeout are still
             # accepted.
-            data = self.stream.read_now()
+            data = self.stream.read_now(READ_SIZE)
             if data is None:
                 raise
             return data
@@ -218,10 +247,14 @@
         """Close the connection."""
         self.usable = False
         self.stream.close()
-        self.reader.discard()
+        self._discard()
 
     def abort(self) -> None:
         """Close the connection with a reset."""
         self.usable = False
         self.stream.abort()
+        self._discard()
+
+    def _discard(self) -> None:
         self.reader.discard()
+        self.account.set(0)
--- a/stepsail/http/reader.py
+++ b/stepsail/http/reader.py
@@ -28,6 +28,8 @@
 FREE_CHUNK_OVERHEAD = 65536
 # Largest number of empty lines that are skipped before a request (RFC 9112 section 2.2).
 MAX_EMPTY_LINES = 2
+# Number of bytes that the objects of one header take in memory beside its text.
+HEADER_OVERHEAD = 160
 CR = 13
 
 
@@ -98,6 +100,11 @@
         self.version = "1.1"
         self.length: int | None = None
         self.parser: Any = None
+        self.head_cost = 0  # number of bytes of memory that the head takes once it is read
+
+    def held_bytes(self) -> int:
+        """Return about how many bytes of memory the reader holds."""
+        return len(self.buffer) + len(self.body) + self.head_cost
 
     def discard(self) -> None:
         """Free all received bytes; the reader cannot be used afterwards.
@@ -192,6 +199,7 @@
         parser_class = httptools.HttpRequestParser if self.reads_requests else httptools.HttpResponseParser
         self.parser = parser_class(self)
         self.parser.feed_data(head)
+        self.head_cost = len(head) + HEADER_OVERHEAD * len(self.headers)
         self.version = self.parser.get_http_version()
         connection = parse_list_header(self.headers, b"connection")
         self.keep_alive = b"close" not in connection and (
--- a/stepsail/http/server_connection.py
+++ b/stepsail/http/server_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from stepsail.http.buffer_budget import BufferAccount, BufferBudget
 from stepsail.http.message import ConnectionLimits, InvalidMessage, Request
 from stepsail.http.reader import MessageReader
 from stepsail.loop import Loop, Stream, TimedOut
@@ -9,6 +10,8 @@
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 MAX_PIPELINED = 65536  # bytes of further requests that are read while a request is being answered
+READ_SIZE = 16384  # bytes per read; larger ones would only be buffered
+NO_ROOM = "no room to wait for the rest: trying again is harmless"
 
 
 class RequestBodyStream:
@@ -49,15 +52,20 @@
         half_closed: Whether the client has closed its sending side.
         partial_since: When the first byte of the incomplete request that is being read was handled; None
             while none is being read.
+        account: The bytes held for the requests that are read, answered or read ahead.
     """
 
-    def __init__(self, loop: Loop, stream: Stream, limits: ConnectionLimits) -> None:
+    def __init__(
+        self, loop: Loop, stream: Stream, limits: ConnectionLimits, budget: BufferBudget | None = None
+    ) -> None:
         self.loop = loop
         self.stream = stream
         self.limits = limits
         self.reader = MessageReader(True, limits)
         self.half_closed = False
         self.partial_since: float | None = None
+        self.account = BufferAccount(budget or BufferBudget())
+        self._request_bytes = 0  # bytes held for the request that is being answered
         self._abandoned: InvalidMessage | None = None
         self.first_request_deadline = (
             loop.now() + limits.first_request_timeout if limits.first_request_timeout else 0.0
@@ -80,46 +88,74 @@
         reader = self.reader
         if reader.complete:
             reader.reset()
+        self.account.set(reader.held_bytes())
         if reader.buffer:
             # The bytes of this request are here already, so that reading it would not wait. A client that
             # pipelines would otherwise keep the loop until all that it has sent is answered.
             self.loop.yield_turn()
             reader.feed(b"")
+            self._charge_partial()
         deadline = self.first_request_deadline
         self.first_request_deadline = 0.0
         continue_sent = False
         while not reader.complete and not reader.streaming:
-            if reader.begun and self.partial_since is None:
-                self.partial_since = self.loop.now()
-                deadline = deadline or self.partial_since + self.limits.request_timeout
+            if reader.begun and not deadline:
+                deadline = self.loop.now() + self.limits.request_timeout
             if reader.expects_continue and not continue_sent:
                 continue_sent = True
                 self.stream.write(CONTINUE, self.limits.request_timeout)
-            data = self._read(deadline)
-            if self._abandoned is not None:
-                raise self._abandoned
-            if not data:
-                if data is not None and reader.begun:
-                    raise InvalidMessage(400, "the stream ended inside a request")
+            if not self._feed_next(deadline):
                 return None
-            reader.feed(data)
+        # An attempt holds the request once more, as it is encoded for the server.
+        self._request_bytes = reader.held_bytes() - len(reader.buffer) + len(reader.body)
+        self.account.set(self._request_bytes + len(reader.buffer))
         request = reader.take_request()
         if not reader.complete:
             request.body_stream = RequestBodyStream(self)
         return request
 
+    def _feed_next(self, deadline: float) -> bool:
+        """Read the next bytes and pass them to the reader; return False if no request will follow."""
+        data = self._read(deadline)
+        if self._abandoned is not None:
+            raise self._abandoned
+        if not data:
+            if data is not None and self.reader.begun:
+                raise InvalidMessage(400, "the stream ended inside a request")
+            return False
+        self.reader.feed(data)
+        self._charge_partial()
+        return True
+
+    def _charge_partial(self) -> None:
+        """Charge the bytes received of an incomplete request, and make room if they are too many.
+
+        Raises:
+            InvalidMessage: There is no room, or this request was rejected to make room.
+        """
+        reader = self.reader
+        if reader.complete or not reader.begun:
+            return
+        if self.partial_since is None:
+            self.partial_since = self.loop.now()
+        self.account.set(reader.held_bytes())
+        has_room = self.account.budget.reclaim_for_requests()
+        if self._abandoned is not None:
+            raise self._abandoned
+        if not has_room:
+            raise InvalidMessage(503, NO_ROOM)
+
     def _read(self, deadline: float) -> bytes | None:
         """Return received bytes; empty at the end of the stream, None if an idle client sent none in time."""
         if self.half_closed:
             return b""
         try:
-            return self.stream.read(
-                max(0.0, deadline - self.loop.now()) if deadline else self.limits.idle_timeout
-            )
+            timeout = max(0.0, deadline - self.loop.now()) if deadline else self.limits.idle_timeout
+            return self.stream.read(timeout, READ_SIZE)
         except TimedOut:
             # Bytes that became readable in the same iteration of the loop as the timeout are still
             # accepted.
-            data = self.stream.read_now()
+            data = self.stream.read_now(READ_SIZE)
             if data is None and self.reader.begun:
                 raise InvalidMessage(408, "a request took too long to arrive") from None
             return data
@@ -129,15 +165,19 @@
 
         Returns:
             False if the waiter will not be woken, because the client is already known to have closed its side
-            or MAX_PIPELINED bytes are buffered.
+            or no more is read ahead.
         """
-        if self.half_closed or len(self.reader.buffer) >= MAX_PIPELINED:
+        if self.half_closed or not self._may_read_ahead():
             return False
         self.stream.wake_on_read(waiter)
         return True
 
+    def _may_read_ahead(self) -> bool:
+        buffered = len(self.reader.buffer)
+        return buffered < MAX_PIPELINED and not (buffered and self.account.budget.is_short_for_requests)
+
     def read_ahead(self) -> bool:
-        """Read the bytes that have arrived, until MAX_PIPELINED bytes are buffered.
+        """Read the bytes that have arrived, until MAX_PIPELINED bytes are buffered or there is no room.
 
         Returns:
             False if the client has closed its side, even if bytes that it sent before are still unread.
@@ -145,12 +185,13 @@
         Raises:
             OSError: The connection failed.
         """
-        while not self.half_closed and len(self.reader.buffer) < MAX_PIPELINED:
-            data = self.stream.read_now()
+        while not self.half_closed and self._may_read_ahead():
+            data = self.stream.read_now(READ_SIZE)
             if data is None:
                 return True
             self.half_closed = not data
             self.reader.buffer += data
+            self.account.set(self._request_bytes + len(self.reader.buffer))
         return not (self.half_closed or self.stream.peer_closed())
 
     def abandon_request(self, error: InvalidMessage) -> None:
@@ -162,6 +203,7 @@
     def discard(self) -> None:
         """Free the received bytes; call this when no request will be read from the connection any more."""
         self.reader.discard()
+        self.account.set(0)
 
     def is_quiet(self) -> bool:
         """Return whether no byte of a request has arrived, whether read or still unread.
--- a/stepsail/loop/stream.py
+++ b/stepsail/loop/stream.py
@@ -64,7 +64,15 @@
         """Return bytes that have arrived already; None if there are none, b"" at the end of the stream."""
         return self.port.recv(max_bytes)
 
-    def write(self, data: bytes, timeout: float | None = None) -> None:
+    def write_now(self, data: bytes) -> int:
+        """Write as many bytes as the system takes without a wait; return how many. Raises Closed, OSError."""
+        if self.port.closed:
+            raise Closed("the stream is closed")
+        count = self.port.send(data) or 0
+        self.sent += count
+        return count
+
+    def write(self, data: bytes | memoryview, timeout: float | None = None) -> None:
         """Write all bytes. Raises TimedOut, Closed, OSError; `sent` includes the bytes of a partial write."""
         rest = memoryview(data)
         while rest:
--- a/stepsail/platform/__main__.py
+++ b/stepsail/platform/__main__.py
@@ -55,7 +55,7 @@
     log = JsonLog(driver.now)
 
     def read() -> PlatformConfiguration:
-        return read_configuration(os.environ)
+        return read_configuration(os.environ, resident_bytes())
 
     try:
         configuration = read_with_retries(read)
--- a/stepsail/platform/client_protocol.py
+++ b/stepsail/platform/client_protocol.py
@@ -5,10 +5,11 @@
 import hashlib
 import math
 import re
+from http import HTTPStatus
 
 from stepsail.decisions.interface import Idempotency
 from stepsail.http import Request, Response
-from stepsail.http.message import parse_list_header
+from stepsail.http.message import Headers, parse_list_header
 from stepsail.platform import wire_names
 from stepsail.platform.errors import InvalidRequest
 from stepsail.proxy.client_protocol import ParsedRequest
@@ -107,16 +108,18 @@
 
     def rejection_response(self, in_flight: InFlightRequest) -> Response:
         """Encode a rejection, which means that no server has run the request."""
-        retry_after = [(b"retry-after", b"%.3f" % in_flight.retry_after)] if in_flight.retry_after > 0 else []
-        return Response(503, retry_after, b"denied: trying again is harmless\n")
+        headers = _retry_after_headers(in_flight.retry_after)
+        return Response(HTTPStatus.SERVICE_UNAVAILABLE, headers, b"denied: trying again is harmless\n")
 
     def failure_response(self, in_flight: InFlightRequest, timed_out: bool) -> Response:
         """Encode a failure, which means that a server may have run the request."""
         return Response(504 if timed_out else 502, [], b"errored: nothing is promised\n")
 
     def error_response(self, status: int, text: str) -> Response:
-        """Encode the response to an invalid request."""
-        return Response(status, [], text.encode("latin-1", "replace") + b"\n")
+        """Encode the response to a request that is invalid or, with status 503, finds no room."""
+        is_rejection = status == HTTPStatus.SERVICE_UNAVAILABLE
+        headers = _retry_after_headers(self.settings.router.max_retry_after) if is_rejection else []
+        return Response(status, headers, text.encode("latin-1", "replace") + b"\n")
 
     def _health_response(self, request: Request, ready: bool) -> Response:
         if ready and request.method == b"GET":
@@ -184,6 +187,10 @@
         self.ids_in_use.discard(in_flight.request.header(wire_names.REQUEST_ID_HEADER) or b"")
 
 
+def _retry_after_headers(seconds: float) -> Headers:
+    return [(b"retry-after", b"%.3f" % seconds)] if seconds > 0 else []
+
+
 def _singleton_headers(request: Request) -> dict[bytes, bytes]:
     """Collect the headers that the protocol defines, none of which may be repeated."""
     names = [name for name, _ in request.headers if name in SINGLETON_HEADERS]
--- a/stepsail/platform/configuration.py
+++ b/stepsail/platform/configuration.py
@@ -1,7 +1,8 @@
 """Reads the platform's configuration file and converts it to an instance's settings.
 
-The file contains no connection limits, only a limit on open file descriptors. The connection limits are
-derived by dividing the descriptors between connections from clients and connections to servers.
+The file contains no connection limits, only limits on open file descriptors and on memory. The connection
+limits are derived by dividing the descriptors between connections from clients and connections to servers. The
+memory limits the connections from clients, the requests in flight and what is buffered for them.
 """
 
 from __future__ import annotations
@@ -16,7 +17,8 @@
 from stepsail.decisions.interface import Idempotency, RouterSettings
 from stepsail.platform import wire_names
 from stepsail.platform.errors import InvalidConfiguration, InvalidField
-from stepsail.platform.json_fields import parse_address, require, require_integer
+from stepsail.platform.json_fields import parse_address, require, require_integer, require_number
+from stepsail.platform.memory_limits import LEAST_MEMORY_MB, divide_memory
 from stepsail.settings.flat_settings import FlatSettings, flatten_json, read_router_settings
 from stepsail.settings.model import InstanceSettings, Route
 
@@ -71,9 +73,13 @@
     load_reports: bool
 
 
-def read_configuration(environ: Mapping[str, str]) -> PlatformConfiguration:
+def read_configuration(environ: Mapping[str, str], resident_bytes: int = 0) -> PlatformConfiguration:
     """Read the configuration file whose path is in the environment.
 
+    Args:
+        environ: The environment variables.
+        resident_bytes: Memory that this process has resident without clients; 0 if it is not known.
+
     Raises:
         InvalidConfiguration: The environment names no file, or the file is unreadable or invalid.
     """
@@ -89,14 +95,14 @@
     if not isinstance(content, dict):
         raise InvalidConfiguration(file, f"expected an object, found {type(content).__name__}")
     try:
-        return _parse(content, environ)
+        return _parse(content, environ, resident_bytes)
     except InvalidField as error:
         raise InvalidConfiguration(file, str(error)) from None
     except (ValueError, KeyError, TypeError) as error:
         raise InvalidConfiguration(file, f"{wire_names.CONFIG_SETTINGS}: {error!r}") from None
 
 
-def _parse(content: dict[str, Any], environ: Mapping[str, str]) -> PlatformConfiguration:
+def _parse(content: dict[str, Any], environ: Mapping[str, str], resident_bytes: int) -> PlatformConfiguration:
     pairs = flatten_json(require(content, wire_names.CONFIG_SETTINGS, dict))
     flat = FlatSettings(pairs)
     router = read_router_settings(pairs)
@@ -108,7 +114,7 @@
         )
     release_control = require(content, wire_names.CONFIG_RELEASE_CONTROL, dict)
     return PlatformConfiguration(
-        settings=_instance_settings(content, environ, flat, router),
+        settings=_instance_settings(content, environ, flat, router, resident_bytes),
         release_state=release_control.get(wire_names.CONFIG_RELEASE_STATE),
         cached_list=content.get(wire_names.CONFIG_CACHED_LIST),
         load_reports=flat.text("Stats.Source") not in ("", "none"),
@@ -116,13 +122,20 @@
 
 
 def _instance_settings(
-    content: dict[str, Any], environ: Mapping[str, str], flat: FlatSettings, router: RouterSettings
+    content: dict[str, Any],
+    environ: Mapping[str, str],
+    flat: FlatSettings,
+    router: RouterSettings,
+    resident_bytes: int,
 ) -> InstanceSettings:
     """Build the settings from the file, the environment and the router's settings."""
     release_control = require(content, wire_names.CONFIG_RELEASE_CONTROL, dict)
     descriptors = _usable_descriptors(content)
-    client_connections = int(descriptors * CLIENT_CONNECTION_SHARE)
-    server_connections = descriptors - client_connections
+    client_descriptors = int(descriptors * CLIENT_CONNECTION_SHARE)
+    server_connections = descriptors - client_descriptors
+    memory = divide_memory(_memory_limit(content), resident_bytes)
+    client_connections = min(client_descriptors, memory.client_connections)
+    max_in_flight = min(client_connections, memory.in_flight)
     class_names = tuple(
         flat.text(f"Lanes.{request_class.index}.Name") for request_class in router.request_classes
     )
@@ -153,7 +166,7 @@
         connect_timeout=router.connect_timeout,
         answer_slack=flat.seconds("Rules.AnswerSlackMs"),
         max_client_connections=client_connections,
-        max_in_flight=min(client_connections, flat.integer("Limits.MaxOpen") or client_connections),
+        max_in_flight=min(max_in_flight, flat.integer("Limits.MaxOpen") or max_in_flight),
         max_head_bytes=MAX_HEAD_BYTES,
         max_body_bytes=MAX_BODY_BYTES,
         max_buffered_bytes=MAX_BUFFERED_BYTES,
@@ -170,6 +183,7 @@
         idle_connection_ttl=IDLE_CONNECTION_SHARE * router.idle_timeout,
         first_request_timeout=FIRST_REQUEST_TIMEOUT,
         evictable_idle_time=EVICTABLE_IDLE_TIME,
+        max_total_buffered_bytes=memory.buffered_bytes,
         unwatched_list_ttl=flat.seconds("Rules.AskWithinMs"),
     )
 
@@ -180,6 +194,14 @@
     return max(2 * RESERVED_DESCRIPTORS, limit - RESERVED_DESCRIPTORS)
 
 
+def _memory_limit(content: dict[str, Any]) -> float:
+    """Return the memory limit in megabytes."""
+    limits = content.get(wire_names.CONFIG_LIMITS)
+    if not isinstance(limits, dict) or wire_names.CONFIG_MEMORY_LIMIT not in limits:
+        return LEAST_MEMORY_MB
+    return require_number(limits, wire_names.CONFIG_MEMORY_LIMIT, 1)
+
+
 def _routes(router: RouterSettings, class_names: tuple[str, ...]) -> tuple[Route, ...]:
     """Create a route for each request class; the route's path is the name of the class."""
     return tuple(
--- a/stepsail/platform/wire_names.py
+++ b/stepsail/platform/wire_names.py
@@ -23,6 +23,7 @@
 CONFIG_SEED = "seed"  # seed of random choices, as a hexadecimal number
 CONFIG_LIMITS = "limits"
 CONFIG_SOCKET_LIMIT = "sockets"  # maximum number of open file descriptors of the process
+CONFIG_MEMORY_LIMIT = "memory_mb"  # memory in megabytes above which the process is killed
 
 # Clients
 HEALTH_PATH = b"/_health"
--- a/stepsail/proxy/admission.py
+++ b/stepsail/proxy/admission.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 from stepsail.decisions.interface import RejectionReason
+from stepsail.http import BufferBudget
 from stepsail.http.message import Headers
 from stepsail.proxy.decision_host import DecisionHost
 from stepsail.proxy.in_flight import InFlightRequest
@@ -38,12 +39,18 @@
     """Rejects requests that must not reach the router, so that no server has run any of them."""
 
     def __init__(
-        self, settings: InstanceSettings, host: DecisionHost, audit: RequestAudit, state: ServingState
+        self,
+        settings: InstanceSettings,
+        host: DecisionHost,
+        audit: RequestAudit,
+        state: ServingState,
+        budget: BufferBudget,
     ) -> None:
         self.settings = settings
         self.host = host
         self.audit = audit
         self.state = state
+        self.budget = budget
         self.policy_gate: PolicyGate | None = None
 
     def rejection_reason(self, in_flight: InFlightRequest, now: float) -> RejectionReason | None:
@@ -78,6 +85,8 @@
             return RejectionReason.SHUTTING_DOWN
         if len(self.host.in_flight) >= self.settings.max_in_flight:
             return RejectionReason.IN_FLIGHT_LIMIT
+        if not self.budget.reclaim_for_requests():
+            return RejectionReason.MEMORY_LIMIT
         return None if self.audit.accepts_requests() else RejectionReason.TRAIL_UNAVAILABLE
 
     def _assign_policy(self, in_flight: InFlightRequest) -> bool:
--- a/stepsail/proxy/connection_reaper.py
+++ b/stepsail/proxy/connection_reaper.py
@@ -8,6 +8,7 @@
 from operator import itemgetter
 
 from stepsail.http import InvalidMessage, ServerConnection
+from stepsail.http.server_connection import NO_ROOM
 from stepsail.loop import Loop, Stream, Task
 from stepsail.proxy.counters import ConnectionClose, Counters
 
@@ -23,7 +24,6 @@
 # Seconds after connecting during which a client may still send its first byte while this process shuts down.
 # Waiting longer would only delay the exit of the process.
 SHUTDOWN_FIRST_BYTE_GRACE = 0.6
-NO_ROOM = "no room to wait for the rest: trying again is harmless"
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,6 +89,24 @@
         self._reject_slowest(now - WHOLE_REQUEST_GRACE)
         return False
 
+    def free_memory(self, excess: int) -> int:
+        """Reject requests that are still arriving, the earliest first, to free `excess` bytes.
+
+        Only those that hold an average share or more are rejected: to reject a request of which few bytes
+        have arrived would free next to nothing.
+
+        Returns:
+            The number of bytes that are still to be freed; 0 or less if there are none.
+        """
+        partial = sorted(self._partial_requests(), key=itemgetter(1))
+        held = {stream: self._pending(stream).connection.account.held for stream, _ in partial}
+        average = sum(held.values()) / max(1, len(held))
+        for stream, _ in partial:
+            if excess > 0 and held[stream] >= average:
+                self._reject(stream)
+                excess -= held[stream]
+        return excess
+
     def close_for_shutdown(self) -> None:
         """Close connections that are silent between two requests, or silent since they were made.
 
@@ -145,6 +163,9 @@
             if pending.connection.partial_since is not None:
                 yield stream, pending.connection.partial_since
 
+    def _pending(self, stream: Stream) -> PendingConnection:
+        return self.awaiting_first_request.get(stream) or self.idle[stream]
+
     def _reject(self, stream: Stream) -> None:
         pending = self.awaiting_first_request.pop(stream, None) or self.idle.pop(stream)
         pending.reject_partial_request()
--- a/stepsail/proxy/daemon_client_protocol.py
+++ b/stepsail/proxy/daemon_client_protocol.py
@@ -11,6 +11,7 @@
 import os
 import re
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import Any
 
 import msgspec
@@ -107,7 +108,11 @@
 
     def error_response(self, status: int, text: str) -> Response:
         """Encode an error message as JSON."""
-        return self._json_response(status, {"error": text})
+        response = self._json_response(status, {"error": text})
+        if status == HTTPStatus.SERVICE_UNAVAILABLE:
+            seconds = math.ceil(self.settings.router.max_retry_after)
+            response.headers.append((b"retry-after", b"%d" % seconds))
+        return response
 
     def _json_response(self, status: int, body: Any) -> Response:
         return Response(status, [JSON_CONTENT_TYPE], msgspec.json.encode(body) + b"\n")
--- a/stepsail/proxy/in_flight.py
+++ b/stepsail/proxy/in_flight.py
@@ -7,7 +7,7 @@
 from enum import Enum
 
 from stepsail.decisions.interface import AttemptOutcome, RequestHandle
-from stepsail.http import Request, Response
+from stepsail.http import BufferAccount, Request, Response
 from stepsail.loop import Task, Waiter
 
 
@@ -55,6 +55,7 @@
         client_connected: Checks the connection and returns whether the client is still connected.
         policy_version: Version of the policy under which the request was accepted; None without a policy.
         waiter: Wakes the task that waits for the final answer.
+        account: The bytes that are held for the request's client.
     """
 
     number: int
@@ -73,6 +74,7 @@
     client_connected: Callable[[], bool] = _assume_connected
     policy_version: int | None = None
     waiter: Waiter | None = None
+    account: BufferAccount | None = None
 
     def __post_init__(self) -> None:
         if not self.request_id:
--- a/stepsail/proxy/listener.py
+++ b/stepsail/proxy/listener.py
@@ -2,7 +2,14 @@
 
 from __future__ import annotations
 
-from stepsail.http import ConnectionLimits, InvalidMessage, Request, Response, ServerConnection
+from stepsail.http import (
+    BufferBudget,
+    ConnectionLimits,
+    InvalidMessage,
+    Request,
+    Response,
+    ServerConnection,
+)
 from stepsail.loop import Closed, Listener, Loop, Stream, TimedOut
 from stepsail.proxy.admission import RequestAdmission
 from stepsail.proxy.client_protocol import ClientProtocol
@@ -31,11 +38,13 @@
         log: Logger,
         audit: RequestAudit,
         protocol: ClientProtocol,
+        budget: BufferBudget,
     ) -> None:
         self.loop = loop
         self.settings = settings
         self.host = host
         self.protocol = protocol
+        self.budget = budget
         self.connection_limits = ConnectionLimits(
             settings.max_head_bytes,
             settings.max_body_bytes,
@@ -46,8 +55,9 @@
         )
         self.state = ServingState()
         self.reaper = ConnectionReaper(loop, settings.evictable_idle_time, host.counters)
-        self.admission = RequestAdmission(settings, host, audit, self.state)
+        self.admission = RequestAdmission(settings, host, audit, self.state, budget)
         self.writer = ResponseWriter(loop, settings, host, log, audit, protocol, self.state)
+        budget.make_room = self._free_memory
         self.handler = RequestHandler(loop, settings, host, log, audit, protocol, self.admission, self.writer)
         self.listener: Listener | None = None
 
@@ -89,9 +99,15 @@
         self.reaper.close_for_shutdown()
         return self.listener is None or (self.listener.close_gracefully() and not self.listener.open_streams)
 
+    def _free_memory(self, excess: int) -> None:
+        """Free `excess` bytes that are held for clients that send or read slowly, as far as possible."""
+        still_excess = self.reaper.free_memory(excess)
+        if still_excess > 0:
+            self.writer.abort_slow_readers(still_excess)
+
     def serve_client(self, stream: Stream) -> None:
         """Serve one client's connection until it ends."""
-        connection = ServerConnection(self.loop, stream, self.connection_limits)
+        connection = ServerConnection(self.loop, stream, self.connection_limits, self.budget)
         try:
             self.host.counters.count_close(self._serve_requests(connection, stream))
         except Closed:  # the connection reaper closed the connection and has counted the close
--- a/stepsail/proxy/request_handler.py
+++ b/stepsail/proxy/request_handler.py
@@ -67,6 +67,7 @@
             stream.abort()  # the client has stopped waiting, and no attempt was started
             return ConnectionClose.DEADLINE_PASSED
         in_flight = self._create_in_flight(request, client_deadline)
+        in_flight.account = connection.account
         try:
             reason = self.admission.rejection_reason(in_flight, now)
             if reason is not None:
--- a/stepsail/proxy/response_writer.py
+++ b/stepsail/proxy/response_writer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+from dataclasses import dataclass
 from http import HTTPStatus
 
 from stepsail.http import InvalidMessage, Request, Response, encode_response
@@ -24,11 +25,33 @@
 MAX_LOGGED_REASON = 200  # longest reason in a log line, in characters
 # Longest time in seconds for which bytes that arrive after the last response are read and discarded.
 LINGER_TIMEOUT = 0.5
+# Seconds that a client has to read its response before it may be cut short to free memory.
+SLOW_READER_GRACE = 0.1
 MAX_LINGER_BYTES = 4 << 20  # largest number of bytes read and discarded after the last response
 
 
+@dataclass(frozen=True, slots=True)
+class SlowReader:
+    """A client that has not read its response yet.
+
+    Attributes:
+        since: When the response was written as far as the system took it.
+        request_id: ID of the client's request.
+        size: Number of bytes of the response.
+    """
+
+    since: float
+    request_id: str
+    size: int
+
+
 class ResponseWriter:
-    """Writes the responses on all connections; keeps no state between two responses."""
+    """Writes the responses on all connections.
+
+    Attributes:
+        slow_readers: Connections on which a response is being written that the system did not take at once,
+            the earliest first.
+    """
 
     def __init__(
         self,
@@ -47,6 +70,7 @@
         self.audit = audit
         self.protocol = protocol
         self.state = state
+        self.slow_readers: dict[Stream, SlowReader] = {}
 
     def write_bad_request(self, stream: Stream, error: InvalidMessage) -> None:
         """Answer bytes that are not a valid request with an error; the connection is unusable afterwards."""
@@ -143,7 +167,10 @@
                 keep_alive = keep_alive and has_framing
                 self._write_streamed(stream, in_flight, response, keep_alive)
             else:
-                stream.write(self._encode(response, request, keep_alive), write_timeout)
+                data = self._encode(response, request, keep_alive)
+                in_flight.response = None
+                response.body = b""  # it is in `data` now
+                self._write_response(stream, in_flight, data, write_timeout)
             complete = True
         except TimedOut:
             stream.abort()
@@ -160,6 +187,35 @@
             self._lingering_close(stream)
         return keep_alive
 
+    def _write_response(
+        self, stream: Stream, in_flight: InFlightRequest, data: bytes, write_timeout: float
+    ) -> None:
+        """Write a response; charge the bytes that the system does not take at once."""
+        sent = stream.write_now(data)
+        if sent == len(data):
+            return
+        assert in_flight.account
+        in_flight.account.set(in_flight.account.held + len(data))
+        self.slow_readers[stream] = SlowReader(self.loop.now(), in_flight.request_id, len(data))
+        try:
+            stream.write(memoryview(data)[sent:], write_timeout)
+        finally:
+            self.slow_readers.pop(stream, None)
+
+    def abort_slow_readers(self, excess: int) -> None:
+        """Reset connections whose clients do not read their responses, to free `excess` bytes.
+
+        The slowest client is the first. Its response is cut short, which the reset tells it.
+        """
+        cutoff = self.loop.now() - SLOW_READER_GRACE
+        for stream, reader in tuple(self.slow_readers.items()):
+            if excess <= 0 or reader.since > cutoff:
+                return
+            self.log.warning("client_read_too_slowly", request=reader.request_id, held_bytes=reader.size)
+            stream.abort()
+            del self.slow_readers[stream]
+            excess -= reader.size
+
     def _write_streamed(
         self, stream: Stream, in_flight: InFlightRequest, response: Response, keep_alive: bool
     ) -> None:
@@ -192,5 +248,5 @@
         stream.half_close()
         with contextlib.suppress(OSError), self.loop.timeout(LINGER_TIMEOUT):
             remaining = MAX_LINGER_BYTES
-            while remaining > 0 and (data := stream.read()):
-                remaining -= len(data)
+            while remaining > 0 and (size := len(stream.read())):
+                remaining -= size
--- a/stepsail/proxy/serving_process.py
+++ b/stepsail/proxy/serving_process.py
@@ -8,6 +8,7 @@
 from typing import NoReturn
 
 from stepsail.decisions.interface import MakeRouter, ServerHandle, Verdict
+from stepsail.http.buffer_budget import UNLIMITED, BufferBudget
 from stepsail.loop import Event, Loop, Task
 from stepsail.proxy.client_protocol import ClientProtocol
 from stepsail.proxy.decision_host import DecisionHost, Logger
@@ -48,6 +49,7 @@
     attempt_sender: AttemptSender
     health_checker: HealthChecker
     listener: ClientListener
+    buffer_budget: BufferBudget
 
     def __init__(
         self,
@@ -69,12 +71,15 @@
         self, client_protocol: ClientProtocol, upstream_protocol: UpstreamProtocol, audit: RequestAudit
     ) -> None:
         """Create the components that communicate with clients and servers."""
-        self.upstream_pool = UpstreamPool(self.loop, self.settings, upstream_protocol)
+        self.buffer_budget = BufferBudget(self.settings.max_total_buffered_bytes or UNLIMITED)
+        self.upstream_pool = UpstreamPool(self.loop, self.settings, upstream_protocol, self.buffer_budget)
         self.attempt_sender = AttemptSender(
             self.loop, self.settings, self.host, self.upstream_pool, upstream_protocol
         )
         self.health_checker = HealthChecker(self.loop, self.host, upstream_protocol)
-        self.listener = ClientListener(self.loop, self.settings, self.host, self.log, audit, client_protocol)
+        self.listener = ClientListener(
+            self.loop, self.settings, self.host, self.log, audit, client_protocol, self.buffer_budget
+        )
 
     # -- commands of the router --------------------------------------------------------------------------
 
@@ -209,6 +214,7 @@
             client_connections=self.listener.connection_count(),
             server_connections=self.upstream_pool.open_connections,
             in_flight=len(self.host.in_flight),
+            buffered_bytes=self.buffer_budget.used,
             resident_bytes=self.resident_bytes(),
         )
 
--- a/stepsail/proxy/upstream_pool.py
+++ b/stepsail/proxy/upstream_pool.py
@@ -5,7 +5,7 @@
 from collections import deque
 
 from stepsail.decisions.interface import ServerHandle
-from stepsail.http import ClientConnection
+from stepsail.http import BufferBudget, ClientConnection
 from stepsail.loop import Loop, Stream
 from stepsail.proxy.idle_timeout import IdleTimeout
 from stepsail.proxy.upstream_protocol import UpstreamProtocol
@@ -56,8 +56,11 @@
         idle_timeout: How long a connection may be idle and still be reused.
     """
 
-    def __init__(self, loop: Loop, settings: InstanceSettings, protocol: UpstreamProtocol) -> None:
+    def __init__(
+        self, loop: Loop, settings: InstanceSettings, protocol: UpstreamProtocol, budget: BufferBudget
+    ) -> None:
         self.loop = loop
+        self.budget = budget
         self.settings = settings
         self.protocol = protocol
         self.upstreams: dict[bytes, Upstream] = {}
@@ -110,7 +113,7 @@
         try:
             timeout = min(self.settings.connect_timeout, deadline - self.loop.now())
             stream = Stream.connect(self.loop, upstream.location, timeout)
-            return ClientConnection(self.loop, stream, self.protocol.bounds)
+            return ClientConnection(self.loop, stream, self.protocol.bounds, self.budget)
         except BaseException:
             upstream.open_connections -= 1
             self.open_connections -= 1
--- a/stepsail/settings/model.py
+++ b/stepsail/settings/model.py
@@ -126,6 +126,8 @@
         unwatched_list_ttl: Time for which an endpoint list without a watch is used; 0: no separate limit.
         evictable_idle_time: Idle time after which a client connection may be closed to make room for a new
             connection; 0: never.
+        max_total_buffered_bytes: Maximum number of bytes that all messages in progress hold together; 0: only
+            the limits per connection.
     """
 
     router: RouterSettings
@@ -176,3 +178,4 @@
     first_request_timeout: float = 0.0
     unwatched_list_ttl: float = 0.0
     evictable_idle_time: float = 0.0
+    max_total_buffered_bytes: int = 0
