Bound what a round of the loop spends on requests that are still arriving

Callers saw: beside hundreds of clients that sent bodies in tiny chunks, requests of others on new connections were answered 0.6 s after their time. Each connection with bytes to read got a turn in each round, and 16 KiB of chunks of two bytes take 1 ms to parse; 70% of the processor went there (profile). New connections waited in the accept queue until places were freed 16 at a time. Change: 8 connections in a round read on in a request; a request's chunks have 32 bytes in the mean beyond the first 256 (responses as before, servers may stream small chunks); limits are checked after each KiB; the first read of a request is 4 KiB; up to 128 slow clients are rejected at once.

--- a/stepsail/http/reader.py
+++ b/stepsail/http/reader.py
@@ -26,6 +26,12 @@
 MAX_CHUNK_OVERHEAD = 4
 # Number of bytes that a chunked body may take on the wire in addition to MAX_CHUNK_OVERHEAD times its size.
 FREE_CHUNK_OVERHEAD = 65536
+# Smallest mean size of the chunks of a request in bytes, beyond FREE_CHUNKS. Each chunk costs about the same
+# time however small it is, and clients are not trusted to spend it; servers may stream in small chunks.
+MIN_MEAN_CHUNK = 32
+FREE_CHUNKS = 256
+# Number of bytes of a chunked body that are parsed before the limits on it are checked.
+CHUNKED_PART = 1024
 # Largest number of empty lines that are skipped before a request (RFC 9112 section 2.2).
 MAX_EMPTY_LINES = 2
 # Number of bytes that the objects of one header take in memory beside its text.
@@ -64,6 +70,7 @@
         body: The part of the body that was read and not taken yet. It is one array: bodies may arrive in parts
             of a few bytes, and objects for each of them would take many times their size.
         body_bytes: Number of bytes of the body that were read.
+        chunks: Number of parts in which the parser has reported a chunked body.
         complete: Whether the message was read in full.
         wire_bytes: Number of bytes received for a chunked body, including its framing. Before the head is
             read, the number of empty lines that were skipped.
@@ -89,6 +96,7 @@
         self.headers: Headers = []
         self.body = bytearray()
         self.body_bytes = 0
+        self.chunks = 0
         self.parser_finished = False  # the parser has reached the end of the message
         # The parser has received the start of another message after the end of this one.
         self.overrun = False
@@ -134,6 +142,7 @@
     def on_body(self, part: bytes) -> None:
         """Handle a part of the body."""
         if not self.parser_finished:
+            self.chunks += 1
             self.body_bytes += len(part)
             self.body += part
 
@@ -279,22 +288,27 @@
             self._complete()
 
     def _read_chunked_body(self) -> None:
-        data = bytes(self.buffer)
+        data = memoryview(bytes(self.buffer))
         self.buffer.clear()
-        self.wire_bytes += len(data)
-        if data:
-            self.parser.feed_data(data)
-        if (
-            self.body_bytes > self.limits.body_bytes
-            or self.wire_bytes > MAX_CHUNK_OVERHEAD * self.body_bytes + FREE_CHUNK_OVERHEAD
-        ):
-            raise InvalidMessage(413, f"a body of over {self.limits.body_bytes} bytes, or mostly framing")
+        for start in range(0, len(data), CHUNKED_PART):
+            part = data[start : start + CHUNKED_PART]
+            self.wire_bytes += len(part)
+            self.parser.feed_data(part)
+            if self._exceeds_body_limits():
+                raise InvalidMessage(413, f"a body of over {self.limits.body_bytes} bytes, or mostly framing")
         if self.parser_finished:
             # Bytes after the end of a chunked message in the same read have already gone to the parser and
             # are lost, so the connection must end with this message.
             self.keep_alive = self.keep_alive and not self.overrun
             self._complete()
 
+    def _exceeds_body_limits(self) -> bool:
+        return (
+            self.body_bytes > self.limits.body_bytes
+            or self.wire_bytes > MAX_CHUNK_OVERHEAD * self.body_bytes + FREE_CHUNK_OVERHEAD
+            or (self.reads_requests and self.chunks > self.body_bytes // MIN_MEAN_CHUNK + FREE_CHUNKS)
+        )
+
     def _add_body_part(self, part: bytes) -> None:
         self.on_body(part)
         if self.body_bytes > self.limits.body_bytes:
--- a/stepsail/http/server_connection.py
+++ b/stepsail/http/server_connection.py
@@ -5,12 +5,14 @@
 from stepsail.http.buffer_budget import BufferAccount, BufferBudget
 from stepsail.http.message import ConnectionLimits, InvalidMessage, Request
 from stepsail.http.reader import MessageReader
-from stepsail.loop import Loop, Stream, TimedOut
+from stepsail.loop import Loop, Semaphore, Stream, TimedOut
 from stepsail.loop.tasks import Waiter
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 MAX_PIPELINED = 65536  # bytes of further requests that are read while a request is being answered
 READ_SIZE = 16384  # bytes per read; larger ones would only be buffered
+FIRST_READ_SIZE = 4096  # bytes of the first read of a request; most requests are smaller
+TOO_SLOW = "a request took too long to arrive"
 NO_ROOM = "no room to wait for the rest: trying again is harmless"
 
 
@@ -53,10 +55,17 @@
         partial_since: When the first byte of the incomplete request that is being read was handled; None
             while none is being read.
         account: The bytes held for the requests that are read, answered or read ahead.
+        partial_reads: Limits how many connections go on reading an incomplete request in one round of the
+            loop. Whole requests of other clients would else wait for the parts of hundreds of large ones.
     """
 
     def __init__(
-        self, loop: Loop, stream: Stream, limits: ConnectionLimits, budget: BufferBudget | None = None
+        self,
+        loop: Loop,
+        stream: Stream,
+        limits: ConnectionLimits,
+        budget: BufferBudget | None = None,
+        partial_reads: Semaphore | None = None,
     ) -> None:
         self.loop = loop
         self.stream = stream
@@ -65,6 +74,7 @@
         self.half_closed = False
         self.partial_since: float | None = None
         self.account = BufferAccount(budget or BufferBudget())
+        self.partial_reads = partial_reads or Semaphore(loop, 1)
         self._request_bytes = 0  # bytes held for the request that is being answered
         self._abandoned: InvalidMessage | None = None
         self.first_request_deadline = (
@@ -116,7 +126,35 @@
 
     def _feed_next(self, deadline: float) -> bool:
         """Read the next bytes and pass them to the reader; return False if no request will follow."""
-        data = self._read(deadline)
+        if self.partial_since is None or self.half_closed:
+            return self._feed(self._read(deadline))
+        while True:
+            self._wait_for_rest(deadline)
+            with self.partial_reads:
+                data = self.stream.read_now(READ_SIZE)
+                if data is None:
+                    continue
+                may_follow = self._feed(data)
+                if may_follow and not self.reader.complete:
+                    self.loop.yield_turn()  # holds the permit until the next round
+                return may_follow
+
+    def _wait_for_rest(self, deadline: float) -> None:
+        """Wait for more bytes of an incomplete request.
+
+        Raises:
+            InvalidMessage: None came by the deadline, or the request was abandoned.
+        """
+        if self._abandoned is not None:
+            raise self._abandoned
+        try:
+            self.stream.wait_readable(max(0.0, deadline - self.loop.now()))
+        except TimedOut:
+            # Bytes that became readable in the same iteration of the loop are still accepted.
+            if not self.stream.readable():
+                raise InvalidMessage(408, TOO_SLOW) from None
+
+    def _feed(self, data: bytes | None) -> bool:
         if self._abandoned is not None:
             raise self._abandoned
         if not data:
@@ -151,13 +189,13 @@
             return b""
         try:
             timeout = max(0.0, deadline - self.loop.now()) if deadline else self.limits.idle_timeout
-            return self.stream.read(timeout, READ_SIZE)
+            return self.stream.read(timeout, FIRST_READ_SIZE)
         except TimedOut:
             # Bytes that became readable in the same iteration of the loop as the timeout are still
             # accepted.
-            data = self.stream.read_now(READ_SIZE)
+            data = self.stream.read_now(FIRST_READ_SIZE)
             if data is None and self.reader.begun:
-                raise InvalidMessage(408, "a request took too long to arrive") from None
+                raise InvalidMessage(408, TOO_SLOW) from None
             return data
 
     def wake_on_data(self, waiter: Waiter) -> bool:
--- a/stepsail/loop/stream.py
+++ b/stepsail/loop/stream.py
@@ -60,6 +60,10 @@
         self.loop.checkpoint()
         return data
 
+    def wait_readable(self, timeout: float | None = None) -> None:
+        """Wait until there are bytes, the end of the stream or an error to read. Raises TimedOut, Closed."""
+        self.loop.wait_ready(self.port, READ, f"bytes from {self.peer[0]}:{self.peer[1]}", timeout)
+
     def read_now(self, max_bytes: int = MAX_READ) -> bytes | None:
         """Return bytes that have arrived already; None if there are none, b"" at the end of the stream."""
         return self.port.recv(max_bytes)
--- a/stepsail/proxy/connection_reaper.py
+++ b/stepsail/proxy/connection_reaper.py
@@ -18,9 +18,9 @@
 WHOLE_REQUEST_GRACE = 0.5
 # Seconds that a client has to read an error response before its connection may be closed to make room.
 LINGER_GRACE = 0.05
-# Most requests that are rejected in one attempt to make room. With one at a time, hundreds of slow clients
+# Most requests that are rejected in one attempt to make room. With a few at a time, hundreds of slow clients
 # would keep new ones waiting for seconds.
-MAX_REJECTED_AT_ONCE = 16
+MAX_REJECTED_AT_ONCE = 128
 # Seconds after connecting during which a client may still send its first byte while this process shuts down.
 # Waiting longer would only delay the exit of the process.
 SHUTDOWN_FIRST_BYTE_GRACE = 0.6
--- a/stepsail/proxy/listener.py
+++ b/stepsail/proxy/listener.py
@@ -10,7 +10,7 @@
     Response,
     ServerConnection,
 )
-from stepsail.loop import Closed, Listener, Loop, Stream, TimedOut
+from stepsail.loop import Closed, Listener, Loop, Semaphore, Stream, TimedOut
 from stepsail.proxy.admission import RequestAdmission
 from stepsail.proxy.client_protocol import ClientProtocol
 from stepsail.proxy.connection_reaper import ConnectionReaper, PendingConnection
@@ -22,6 +22,9 @@
 from stepsail.proxy.serving_state import ServingState
 from stepsail.settings import InstanceSettings
 
+# Number of connections that read more of an incomplete request in one round of the loop.
+PARTIAL_READS_PER_ROUND = 8
+
 
 class ClientListener:
     """Serves up to `max_client_connections` connections and up to `max_in_flight` requests at a time.
@@ -57,6 +60,7 @@
         self.reaper = ConnectionReaper(loop, settings.evictable_idle_time, host.counters)
         self.admission = RequestAdmission(settings, host, audit, self.state, budget)
         self.writer = ResponseWriter(loop, settings, host, log, audit, protocol, self.state)
+        self.partial_reads = Semaphore(loop, PARTIAL_READS_PER_ROUND)
         budget.make_room = self._free_memory
         self.handler = RequestHandler(loop, settings, host, log, audit, protocol, self.admission, self.writer)
         self.listener: Listener | None = None
@@ -107,7 +111,9 @@
 
     def serve_client(self, stream: Stream) -> None:
         """Serve one client's connection until it ends."""
-        connection = ServerConnection(self.loop, stream, self.connection_limits, self.budget)
+        connection = ServerConnection(
+            self.loop, stream, self.connection_limits, self.budget, self.partial_reads
+        )
         try:
             self.host.counters.count_close(self._serve_requests(connection, stream))
         except Closed:  # the connection reaper closed the connection and has counted the close
--- a/stepsail/qualify/clients.py
+++ b/stepsail/qualify/clients.py
@@ -18,6 +18,7 @@
 from stepsail.qualify.records import ClientEnd, ClientRecord, Records, RequestClass
 
 CONNECT_TIMEOUT = 0.5  # s
+CONNECT_ATTEMPTS = 3
 BUDGETS = (0.3, 0.6, 1.2)  # s, the client timeouts to choose from
 # Seconds that a client waits beyond its budget, to distinguish a late answer from a missing one.
 EXTRA_WAIT = 1.0
@@ -109,8 +110,17 @@
         return self._record(request, sent_at, end, status)
 
     def _connect(self) -> ClientConnection:
-        stream = Stream.connect(self.loop, self.listen, CONNECT_TIMEOUT)
-        return ClientConnection(self.loop, stream, ConnectionLimits())
+        """Return a new connection that is still open.
+
+        An instance without room may close a connection that is silent after it was made, as it is here while
+        this process stands still. Nothing was sent on it, so nothing is owed on it.
+        """
+        for _ in range(CONNECT_ATTEMPTS):
+            stream = Stream.connect(self.loop, self.listen, CONNECT_TIMEOUT)
+            if not stream.peer_closed():
+                return ClientConnection(self.loop, stream, ConnectionLimits())
+            stream.close()
+        raise ConnectionResetError
 
     def _exchange(
         self, connection: ClientConnection, request: _PlannedRequest, progress: Progress
