Start no attempt for a client whose close may lie behind unread requests

Callers saw: a client closed its connection with much still unread, and attempts for it began afterwards. Cause: a client's close is the end of its stream. Behind more bytes than the 64 KiB that are read ahead, and than the system's buffers hold, it can't arrive; the connection looked open, and retries went on being sent. Change: read_ahead tells CONNECTED, CLOSED and UNKNOWN apart, the last while more is unread than is read ahead and for 0.1 s after it. In that state no attempt begins, and requests are rejected (`pipeline_limit`): nothing ran. They are answered, not closed on, since each of them was taken.

--- a/stepsail/decisions/interface.py
+++ b/stepsail/decisions/interface.py
@@ -41,6 +41,7 @@
     SHUTTING_DOWN = "this instance is about to stop"
     IN_FLIGHT_LIMIT = "as many requests are open as the limits allow"
     MEMORY_LIMIT = "the messages in progress hold as much memory as the limits allow"
+    PIPELINE_LIMIT = "its client has sent so much at once that its leaving could not be noticed"
     NO_POLICY = "no policy is in force to take it by"
     TRAIL_UNAVAILABLE = "the audit trail takes nothing new"
 
--- a/stepsail/http/__init__.py
+++ b/stepsail/http/__init__.py
@@ -16,13 +16,14 @@
     encode_request,
     encode_response,
 )
-from stepsail.http.server_connection import ServerConnection
+from stepsail.http.server_connection import ClientState, ServerConnection
 
 __all__ = [
     "BodyStream",
     "BufferAccount",
     "BufferBudget",
     "ClientConnection",
+    "ClientState",
     "ConnectionLimits",
     "InvalidMessage",
     "Progress",
--- a/stepsail/http/server_connection.py
+++ b/stepsail/http/server_connection.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from enum import Enum
+
 from stepsail.http.buffer_budget import BufferAccount, BufferBudget
 from stepsail.http.message import ConnectionLimits, InvalidMessage, Request
 from stepsail.http.reader import MessageReader
@@ -12,10 +14,21 @@
 MAX_PIPELINED = 65536  # bytes of further requests that are read while a request is being answered
 READ_SIZE = 16384  # bytes per read; larger ones would only be buffered
 FIRST_READ_SIZE = 4096  # bytes of the first read of a request; most requests are smaller
+# Seconds for which a client's state stays unknown after more was unread than is read ahead. The end of its
+# stream may still be on the way behind what was read since.
+UNKNOWN_STATE_TIME = 0.1
 TOO_SLOW = "a request took too long to arrive"
 NO_ROOM = "no room to wait for the rest: trying again is harmless"
 
 
+class ClientState(Enum):
+    """Whether the client of a connection is still there, as far as its connection shows."""
+
+    CONNECTED = "it has not closed its side"
+    CLOSED = "it has closed its side or reset the connection"
+    UNKNOWN = "more bytes are unread than are read ahead, and the end of its stream may be behind them"
+
+
 class RequestBodyStream:
     """Streams the rest of a request's body; once reading has begun, only one server can receive it."""
 
@@ -77,6 +90,7 @@
         self.partial_reads = partial_reads or Semaphore(loop, 1)
         self._request_bytes = 0  # bytes held for the request that is being answered
         self._abandoned: InvalidMessage | None = None
+        self._state_unknown_until = 0.0
         self.first_request_deadline = (
             loop.now() + limits.first_request_timeout if limits.first_request_timeout else 0.0
         )
@@ -214,23 +228,34 @@
         buffered = len(self.reader.buffer)
         return buffered < MAX_PIPELINED and not (buffered and self.account.budget.is_short_for_requests)
 
-    def read_ahead(self) -> bool:
+    def has_pipelined(self) -> bool:
+        """Return whether the client has sent more than one request at a time, now or a moment ago."""
+        return bool(self.reader.buffer) or self.loop.now() < self._state_unknown_until
+
+    def read_ahead(self) -> ClientState:
         """Read the bytes that have arrived, until MAX_PIPELINED bytes are buffered or there is no room.
 
         Returns:
-            False if the client has closed its side, even if bytes that it sent before are still unread.
+            Whether the client is still there. Where it has closed its side this is mostly known even if bytes
+            that it sent before are unread, unless these fill the buffers of the system.
 
         Raises:
             OSError: The connection failed.
         """
-        while not self.half_closed and self._may_read_ahead():
+        is_all_read = False
+        while not (self.half_closed or is_all_read) and self._may_read_ahead():
             data = self.stream.read_now(READ_SIZE)
             if data is None:
-                return True
+                is_all_read = True
+                continue
             self.half_closed = not data
             self.reader.buffer += data
             self.account.set(self._request_bytes + len(self.reader.buffer))
-        return not (self.half_closed or self.stream.peer_closed())
+        if self.half_closed or (not is_all_read and self.stream.peer_closed()):
+            return ClientState.CLOSED
+        if not is_all_read and self.stream.readable():
+            self._state_unknown_until = self.loop.now() + UNKNOWN_STATE_TIME
+        return ClientState.UNKNOWN if self.loop.now() < self._state_unknown_until else ClientState.CONNECTED
 
     def abandon_request(self, error: InvalidMessage) -> None:
         """Free the received part of a request; the task that reads it gets `error` at its next turn."""
--- a/stepsail/proxy/in_flight.py
+++ b/stepsail/proxy/in_flight.py
@@ -7,7 +7,7 @@
 from enum import Enum
 
 from stepsail.decisions.interface import AttemptOutcome, RequestHandle
-from stepsail.http import BufferAccount, Request, Response
+from stepsail.http import BufferAccount, ClientState, Request, Response
 from stepsail.loop import Task, Waiter
 
 
@@ -35,8 +35,8 @@
     outcome: AttemptOutcome | None = None
 
 
-def _assume_connected() -> bool:
-    return True
+def _assume_connected() -> ClientState:
+    return ClientState.CONNECTED
 
 
 @dataclass(slots=True, eq=False)
@@ -52,7 +52,7 @@
         finished: Whether the final answer is decided; attempts may still be open.
         streaming_attempt: Index of the attempt whose response is forwarded to the client as it arrives.
         retry_after: Seconds that a rejection tells the client to wait before it sends the request again.
-        client_connected: Checks the connection and returns whether the client is still connected.
+        client_state: Checks the connection and returns whether the client is still there.
         policy_version: Version of the policy under which the request was accepted; None without a policy.
         waiter: Wakes the task that waits for the final answer.
         account: The bytes that are held for the request's client.
@@ -71,7 +71,7 @@
     final_answer: FinalAnswer | None = None
     response: Response | None = None
     retry_after: float = 0.0
-    client_connected: Callable[[], bool] = _assume_connected
+    client_state: Callable[[], ClientState] = _assume_connected
     policy_version: int | None = None
     waiter: Waiter | None = None
     account: BufferAccount | None = None
--- a/stepsail/proxy/request_handler.py
+++ b/stepsail/proxy/request_handler.py
@@ -5,7 +5,7 @@
 from functools import partial
 
 from stepsail.decisions.interface import RejectionReason
-from stepsail.http import Request, ServerConnection
+from stepsail.http import ClientState, Request, ServerConnection
 from stepsail.loop import Loop, Stream, TimedOut, Waiter
 from stepsail.proxy.admission import RequestAdmission
 from stepsail.proxy.client_protocol import ClientProtocol, ParsedRequest
@@ -70,11 +70,13 @@
         in_flight.account = connection.account
         try:
             reason = self.admission.rejection_reason(in_flight, now)
+            if reason is None and self._is_client_unknown(connection, request):
+                reason = RejectionReason.PIPELINE_LIMIT
             if reason is not None:
                 self._reject(in_flight, reason)
             else:
                 self.audit.accepted += 1
-                in_flight.client_connected = partial(self._client_connected, connection, request)
+                in_flight.client_state = partial(self._client_state, connection, request)
                 self.host.accept_request(in_flight, parsed, age)
                 if not self._wait_for_answer(connection, in_flight):
                     self._log_disconnect(in_flight)
@@ -109,14 +111,24 @@
             open_attempts=in_flight.open_attempts,
         )
 
-    def _client_connected(self, connection: ServerConnection, request: Request) -> bool:
-        """Return whether the client is still connected, as far as its connection shows."""
+    def _is_client_unknown(self, connection: ServerConnection, request: Request) -> bool:
+        """Return whether the client may have left unnoticed, because it has sent so many requests at once."""
+        if not connection.has_pipelined():
+            return False
+        return self._client_state(connection, request) is ClientState.UNKNOWN
+
+    def _client_state(self, connection: ServerConnection, request: Request) -> ClientState:
+        """Return whether the client is still there, as far as its connection shows."""
         if request.body_stream is not None:
-            return True  # the task that reads the rest of the body notices a disconnect
+            return ClientState.CONNECTED  # the task that reads the rest of the body notices a disconnect
         try:
-            return connection.read_ahead() or not self.protocol.half_close_is_disconnect
+            state = connection.read_ahead()
         except OSError:
-            return False
+            return ClientState.CLOSED
+        return state if self.protocol.half_close_is_disconnect else ClientState.CONNECTED
+
+    def _has_client_left(self, connection: ServerConnection, in_flight: InFlightRequest) -> bool:
+        return self._client_state(connection, in_flight.request) is ClientState.CLOSED
 
     def _wait_for_answer(self, connection: ServerConnection, in_flight: InFlightRequest) -> bool:
         """Wait for the final answer; return False if the client disconnected first.
@@ -132,11 +144,11 @@
             in_flight.waiter = waiter
             try:
                 self._wait_for_change(connection, in_flight, waiter, force_answer_at)
-                if not (in_flight.finished or self._client_connected(connection, in_flight.request)):
+                if not in_flight.finished and self._has_client_left(connection, in_flight):
                     self.host.client_disconnected(in_flight)
             except TimedOut:
                 if self.loop.now() < force_answer_at:
-                    if not self._client_connected(connection, in_flight.request):
+                    if self._has_client_left(connection, in_flight):
                         self.host.client_disconnected(in_flight)
                 else:
                     self._force_answer(in_flight)
--- a/stepsail/proxy/upstream_attempt.py
+++ b/stepsail/proxy/upstream_attempt.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from stepsail.decisions.interface import AttemptOutcome, ServerHandle
-from stepsail.http import ClientConnection, InvalidMessage, Progress, Response, TruncatedMessage
+from stepsail.http import ClientConnection, ClientState, InvalidMessage, Progress, Response, TruncatedMessage
 from stepsail.http.message import BodyStream
 from stepsail.loop import Cancelled, Channel, Closed, Loop, Task, TimedOut
 from stepsail.proxy.attempt_outcome import FIRST_SERVER_ERROR, ExchangeEnd
@@ -214,9 +214,9 @@
     def _may_send(self, now: float) -> bool:
         """Check, just before the first byte is written, whether the attempt may still be sent.
 
-        While the connection was being made, the client may have disconnected, another attempt may have been
-        served, the server may have been listed as draining, or a later build may have answered a request with
-        the same key.
+        While the connection was being made, the client may have disconnected or have sent so much that its
+        close could not be noticed, another attempt may have been served, the server may have been listed as
+        draining, or a later build may have answered a request with the same key.
 
         This process may also have been paused since the router issued the command. The endpoint list, the
         exposure limit, the windows or the key window that the router relied on may then have expired, and
@@ -227,12 +227,15 @@
         """
         host = self.sender.host
         settings = self.sender.settings
-        if not self.in_flight.finished and not self.in_flight.client_connected():
+        if self.in_flight.finished:
+            return False
+        client_state = self.in_flight.client_state()
+        if client_state is ClientState.CLOSED:
             # The client's close of the connection had arrived, but had not been processed yet.
             host.client_disconnected(self.in_flight)
         command_expires_at = self.commanded_at + max(settings.router.drain_grace, settings.connect_timeout)
         return (
-            not self.in_flight.finished
+            client_state is ClientState.CONNECTED
             and now < min(self.deadline, command_expires_at)
             and self.sender.protocol.locate(self.upstream.address)[1] == self.server_version
             and host.endpoint_list_usable()
--- a/stepsail/standins/server.py
+++ b/stepsail/standins/server.py
@@ -10,7 +10,14 @@
 from collections import deque
 from random import Random
 
-from stepsail.http import ConnectionLimits, InvalidMessage, Request, ServerConnection, encode_response
+from stepsail.http import (
+    ClientState,
+    ConnectionLimits,
+    InvalidMessage,
+    Request,
+    ServerConnection,
+    encode_response,
+)
 from stepsail.loop import Closed, Listener, Loop, Stream, Waiter
 from stepsail.loop.driver import Address
 from stepsail.standins.builds import Build
@@ -316,6 +323,6 @@
 
 def _is_connected(connection: ServerConnection) -> bool:
     try:
-        return connection.read_ahead()
+        return connection.read_ahead() is not ClientState.CLOSED
     except OSError:
         return False
