--- a/stepsail/platform/application.py
+++ b/stepsail/platform/application.py
@@ -72,7 +72,7 @@
             loop, settings, self.host, log, settings.release_control_address, settings.seed or 0
         )
         table = self.discovery.table
-        client_protocol = PlatformClientProtocol(settings)
+        client_protocol = PlatformClientProtocol(settings, loop.now)
         upstream_protocol = PlatformUpstreamProtocol(settings, table.locate, configuration.load_reports)
         self.connect_protocols(client_protocol, upstream_protocol, NoAudit())
         table.on_stale_connections = self.upstream_pool.close_idle
--- a/stepsail/platform/client_protocol.py
+++ b/stepsail/platform/client_protocol.py
@@ -5,6 +5,7 @@
 import hashlib
 import math
 import re
+from collections.abc import Callable
 from http import HTTPStatus
 
 from stepsail.decisions.interface import Idempotency
@@ -12,6 +13,8 @@
 from stepsail.http.message import Headers, parse_list_header
 from stepsail.platform import wire_names
 from stepsail.platform.errors import InvalidRequest
+from stepsail.platform.request_ids import RequestIds
+from stepsail.proxy.attempt_outcome import NEVER_RAN
 from stepsail.proxy.client_protocol import ParsedRequest
 from stepsail.proxy.in_flight import InFlightRequest
 from stepsail.settings import InstanceSettings, Route
@@ -61,12 +64,11 @@
     late_response_grace = math.inf
     close_after_client_error = True
 
-    def __init__(self, settings: InstanceSettings) -> None:
+    def __init__(self, settings: InstanceSettings, now: Callable[[], float]) -> None:
         self.settings = settings
         self.routes = {route.path.encode(): route for route in settings.routes}
         self.tenants = TenantTable(settings.tenant_names)
-        # IDs of the requests in flight, and of finished requests that still have an open attempt.
-        self.ids_in_use: set[bytes] = set()
+        self.ids = RequestIds(now)
         # Numbers of the finished requests that still have an open attempt.
         self.finished_with_open_attempts: set[int] = set()
 
@@ -87,13 +89,13 @@
         """Record that a request was accepted: its ID is now in use."""
         request_id = in_flight.request.header(wire_names.REQUEST_ID_HEADER) or b""
         in_flight.request_id = request_id.decode("latin-1")
-        self.ids_in_use.add(request_id)
+        self.ids.start(request_id)
 
     def request_ended(self, in_flight: InFlightRequest) -> None:
         """Record that a request was answered or that its client has disconnected.
 
         The request's ID stays in use while the request has an open attempt, because a second request with the
-        same ID would run concurrently with that attempt.
+        same ID would run concurrently with that attempt. If an attempt may have run, the ID is remembered.
         """
         if in_flight.open_attempts:
             self.finished_with_open_attempts.add(in_flight.number)
@@ -138,8 +140,8 @@
     def _validate(self, request: Request, route: Route, headers: dict[bytes, bytes]) -> None:
         """Check the parts of a request that the router relies on; raise for the first invalid one."""
         request_id = headers.get(wire_names.REQUEST_ID_HEADER, b"")
-        if request_id in self.ids_in_use:
-            raise InvalidRequest(409, "no id, or one that is open")
+        if self.ids.is_taken(request_id):
+            raise InvalidRequest(409, "an id that is open or may have run")
         if not TOKEN.fullmatch(request_id):
             raise InvalidRequest(400, "no id, or one that is open")
         if not MILLISECONDS.fullmatch(_time_left(headers)):
@@ -184,7 +186,9 @@
         )
 
     def _free_id(self, in_flight: InFlightRequest) -> None:
-        self.ids_in_use.discard(in_flight.request.header(wire_names.REQUEST_ID_HEADER) or b"")
+        request_id = in_flight.request.header(wire_names.REQUEST_ID_HEADER) or b""
+        may_have_run = any(attempt.outcome not in NEVER_RAN for attempt in in_flight.attempts)
+        self.ids.end(request_id, may_have_run)
 
 
 def _retry_after_headers(seconds: float) -> Headers:
--- a/tests/endings/test_clients.py
+++ b/tests/endings/test_clients.py
@@ -232,7 +232,9 @@
     PlatformRig(tmp_path, test, [answers()])
 
 
-def test_request_id_stays_in_use_while_an_attempt_of_a_disconnected_client_is_open(tmp_path: Path) -> None:
+def test_request_id_of_a_disconnected_client_is_refused_during_its_attempt_and_after_it(
+    tmp_path: Path,
+) -> None:
     def test(rig: PlatformRig) -> None:
         client = raw_client(rig)
         client.sendall(encode_client_request("twice", body=b"{}"))
@@ -243,8 +245,10 @@
         assert repeated.status == 409 and len(rig.servers[0].seen) == 1
         rig.wait_until(lambda: not rig.application.host.in_flight)
         rig.servers[0].script = answers(body=b"second")
+        repeated = rig.send_request("/record", "POST", "twice", body=b"{}", idempotency_key="k-twice")
+        assert repeated.status == 409 and len(rig.servers[0].seen) == 1
         assert (
-            rig.send_request("/record", "POST", "twice", body=b"{}", idempotency_key="k-twice").body
+            rig.send_request("/record", "POST", "fresh", body=b"{}", idempotency_key="k-twice").body
             == b"second"
         )
 
--- a/tests/platform/test_client_protocol.py
+++ b/tests/platform/test_client_protocol.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from pathlib import Path
 from typing import Any
 
@@ -28,7 +29,7 @@
 
 
 def test_request_is_parsed(tmp_path: Path) -> None:
-    protocol = PlatformClientProtocol(configure(tmp_path).settings)
+    protocol = PlatformClientProtocol(configure(tmp_path).settings, time.monotonic)
     assert parse(protocol, "GET", "/lookup?other=5") == ParsedRequest(0, 0.48)
     key = hash_key_in_query(b"/lookup?obj=5")
     assert key and parse(protocol, "GET", "/lookup?obj=5") == ParsedRequest(0, 0.48, key=key)
@@ -66,22 +67,24 @@
 def test_invalid_request_gets_an_error_response(
     tmp_path: Path, status: int, method: str, target: str, body: bytes, headers: dict[str, str | None]
 ) -> None:
-    response = parse(PlatformClientProtocol(configure(tmp_path).settings), method, target, body, **headers)
+    response = parse(
+        PlatformClientProtocol(configure(tmp_path).settings, time.monotonic), method, target, body, **headers
+    )
     assert isinstance(response, Response) and response.status == status
 
 
 def test_open_request_id_conflicts_until_the_request_ends(tmp_path: Path) -> None:
-    protocol = PlatformClientProtocol(configure(tmp_path).settings)
+    protocol = PlatformClientProtocol(configure(tmp_path).settings, time.monotonic)
     request = Request(b"GET", b"/lookup", [(b"x-call-id", REQUIRED_HEADERS["x-call-id"].encode())])
     in_flight = InFlightRequest(0, request, 1.0, 1.0)
     protocol.request_started(in_flight)
     assert parse(protocol, "GET", "/lookup").status == 409
     protocol.request_ended(in_flight)
-    assert isinstance(parse(protocol, "GET", "/lookup"), ParsedRequest) and not protocol.ids_in_use
+    assert isinstance(parse(protocol, "GET", "/lookup"), ParsedRequest) and not protocol.ids.in_use
 
 
 def test_rejection_has_a_fractional_retry_after_and_failure_has_none(tmp_path: Path) -> None:
-    protocol = PlatformClientProtocol(configure(tmp_path).settings)
+    protocol = PlatformClientProtocol(configure(tmp_path).settings, time.monotonic)
     in_flight = InFlightRequest(0, Request(b"GET", b"/lookup", []), 1.0, 1.0)
     in_flight.retry_after = 0.25
     assert (
@@ -124,12 +127,15 @@
     settings = read_configuration(
         write_configuration(tmp_path, settings=SETTINGS | {"Realms": TENANTS})
     ).settings
-    assert parse(PlatformClientProtocol(settings), "GET", "/lookup", b"", **headers) == ParsedRequest(
-        0, 0.48, tenant
-    )
+    assert parse(
+        PlatformClientProtocol(settings, time.monotonic), "GET", "/lookup", b"", **headers
+    ) == ParsedRequest(0, 0.48, tenant)
     # If the settings have no tenants, the header makes no difference.
     assert parse(
-        PlatformClientProtocol(configure(tmp_path).settings), "GET", "/lookup", x_caller="club"
+        PlatformClientProtocol(configure(tmp_path).settings, time.monotonic),
+        "GET",
+        "/lookup",
+        x_caller="club",
     ) == ParsedRequest(0, 0.48)
 
 
@@ -139,14 +145,16 @@
         b"/lookup",
         [(b"x-call-id", b"a"), (b"x-budget-ms", b"5"), (b"x-caller", b"club"), (b"x-caller", b"club-east")],
     )
-    response = PlatformClientProtocol(configure(tmp_path).settings).parse_request(request, True)
+    response = PlatformClientProtocol(configure(tmp_path).settings, time.monotonic).parse_request(
+        request, True
+    )
     assert isinstance(response, Response) and response.status == 400
 
 
 def test_key_is_read_from_the_query(tmp_path: Path) -> None:
     # Guards against reading the key from a header that no request has: a sticky key then went back to an
     # earlier build.
-    protocol = PlatformClientProtocol(configure(tmp_path).settings)
+    protocol = PlatformClientProtocol(configure(tmp_path).settings, time.monotonic)
     keys = [
         parse(protocol, "GET", target).key
         for target in (
