--- a/stepsail/cli/qualify.py
+++ b/stepsail/cli/qualify.py
@@ -46,6 +46,9 @@
 @click.option(
     "--clients", default=3, show_default=True, type=click.IntRange(1, 100), help="Clients per instance."
 )
+@click.option(
+    "--abuse", is_flag=True, help="Add clients that break the protocol; instances get the least memory."
+)
 @click.option("--jobs", default=1, show_default=True, type=click.IntRange(1, 16), help="Parallel runs.")
 @click.option("--out", required=True, type=FOLDER, help="Folder for logs.")
 @click.option("--json", "as_json", is_flag=True, help="Print one JSON object per run.")
@@ -55,6 +58,7 @@
     seconds: float,
     instances: int,
     clients: int,
+    abuse: bool,
     jobs: int,
     out: Path,
     as_json: bool,
@@ -64,7 +68,8 @@
         raise click.UsageError(
             f"{instances * jobs} processes at once are too many; the limit is {MAX_PROCESSES}"
         )
-    plans = [SoakPlan(seed, seconds, instances, clients) for seed in range(first_seed, first_seed + seeds)]
+    seed_range = range(first_seed, first_seed + seeds)
+    plans = [SoakPlan(seed, seconds, instances, clients, abuse) for seed in seed_range]
     failed = 0
     for report in _run_all(plans, out, jobs):
         if report["breaches"] or report["not_serving"]:
--- a/stepsail/qualify/abusive_clients.py
+++ b/stepsail/qualify/abusive_clients.py
@@ -74,13 +74,13 @@
             return encode_head(request_id, sized) + b"\r\n" + half_body
 
 
-def encode_flood(flood: Flood, number: int) -> bytes:
+def encode_flood(flood: Flood, client: str, number: int) -> bytes:
     """Return the requests of one write of a flooding client; `number` is the number of the write."""
-    first = number * PIPELINED_REQUESTS
-    return b"".join(_encode_flood_request(flood, first + index) for index in range(PIPELINED_REQUESTS))
+    numbers = range(number * PIPELINED_REQUESTS, (number + 1) * PIPELINED_REQUESTS)
+    return b"".join(_encode_flood_request(flood, client.encode(), number) for number in numbers)
 
 
-def _encode_flood_request(flood: Flood, number: int) -> bytes:
+def _encode_flood_request(flood: Flood, client: bytes, number: int) -> bytes:
     path, budget = b"/lookup", 0
     match flood:
         case Flood.HEALTH_CHECKS:
@@ -89,8 +89,8 @@
             path, budget = b"/lookup/%d?obj=%d" % (number, number), 300
         case Flood.UNKNOWN_PATHS:
             path = b"/unknown-%d" % number
-    head = b"GET %s HTTP/1.1\r\nhost: service.internal\r\nx-call-id: flood-%d\r\nx-budget-ms: %d\r\n\r\n"
-    return head % (path, number, budget)
+    head = b"GET %s HTTP/1.1\r\nhost: service.internal\r\nx-call-id: %s-%d\r\nx-budget-ms: %d\r\n\r\n"
+    return head % (path, client, number, budget)
 
 
 class AbusiveClients:
@@ -155,7 +155,7 @@
         try:
             while not self.is_over:
                 self._next_number += 1
-                stream.write(encode_flood(flood, self._next_number), STALL_TIMEOUT)
+                stream.write(encode_flood(flood, self.name, self._next_number), STALL_TIMEOUT)
                 self.loop.yield_turn()
         finally:
             reader.cancel()
--- a/stepsail/qualify/checks.py
+++ b/stepsail/qualify/checks.py
@@ -48,6 +48,7 @@
     DRAIN = "drain"
     BUDGET = "budget"
     CRASH = "crash"
+    MEMORY = "memory"
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,6 +78,7 @@
         *find_attempts_after_disconnect(records),
         *find_excessive_budgets(records),
         *find_crashes(records),
+        *find_memory_excesses(records),
     ]
     return sorted(breaches, key=lambda breach: breach.at)
 
@@ -285,3 +287,10 @@
     for record in records.processes:
         if record.event is ProcessEvent.EXITED:
             yield Breach(Rule.CRASH, record.at, f"{record}")
+
+
+def find_memory_excesses(records: Records) -> Iterator[Breach]:
+    """Find processes that had more memory resident than their limit, above which they are killed."""
+    for peak in records.memory_peaks:
+        if peak.resident > peak.limit:
+            yield Breach(Rule.MEMORY, peak.at, f"{peak}")
--- a/stepsail/qualify/faults.py
+++ b/stepsail/qualify/faults.py
@@ -30,6 +30,7 @@
         "an instance gets SIGHUP with a new address of discovery; its file is incomplete for the duration"
     )
     CLIENTS_SAY_NOTHING = "clients open dozens of connections and send nothing"
+    CLIENTS_ABUSE = "clients break the protocol as selected by `detail`"
 
 
 # The shortest and the longest duration of each kind, in seconds; a negative drawn duration becomes 0.
@@ -45,7 +46,11 @@
     FaultKind.INSTANCE_RESTARTED: (0.05, 0.5),
     FaultKind.DISCOVERY_MOVES: (-0.5, 1.0),
     FaultKind.CLIENTS_SAY_NOTHING: (0.5, 3.0),
+    FaultKind.CLIENTS_ABUSE: (1.0, 4.0),
 }
+# Kinds that are drawn in every run. Abuse is drawn apart, so that the other faults of a seed stay the same.
+USUAL_KINDS = tuple(kind for kind in FaultKind if kind is not FaultKind.CLIENTS_ABUSE)
+MEAN_ABUSE_INTERVAL = 3.0  # s between two faults of abuse
 DRAIN_HIDING_KINDS = (  # faults after which instances do not learn of a drain at once
     FaultKind.DISCOVERY_CROWDED,
     FaultKind.DISCOVERY_SILENT,
@@ -65,7 +70,8 @@
         kind: Kind of the fault.
         duration: Duration in seconds.
         target: Index of the affected server or instance, modulo their number.
-        detail: Index of the server's misbehavior in `SERVER_FAULTS`, modulo their number.
+        detail: Index of the server's misbehavior in `SERVER_FAULTS`, or of the clients' in `ABUSE_KINDS`,
+            modulo their number.
     """
 
     at: float
@@ -81,7 +87,7 @@
     faults: list[Fault] = []
     at = QUIET_START
     while at < seconds - QUIET_END:
-        [kind] = random.choices(list(FaultKind), [WEIGHTS.get(kind, 1) for kind in FaultKind])
+        [kind] = random.choices(USUAL_KINDS, [WEIGHTS.get(kind, 1) for kind in USUAL_KINDS])
         faults.append(_draw_fault(random, at, kind))
         if kind in DRAIN_HIDING_KINDS:
             drain_at = at + random.uniform(*HIDDEN_DRAIN_DELAY)
@@ -90,6 +96,17 @@
     return sorted(faults, key=lambda fault: fault.at)
 
 
+def draw_abuse(seed: int, seconds: float) -> list[Fault]:
+    """Return the faults of abuse of a run, sorted by time; equal seeds give equal faults."""
+    random = Random(f"abuse {seed}")
+    faults: list[Fault] = []
+    at = QUIET_START
+    while at < seconds - QUIET_END:
+        faults.append(_draw_fault(random, at, FaultKind.CLIENTS_ABUSE))
+        at += random.expovariate(1.0 / MEAN_ABUSE_INTERVAL)
+    return faults
+
+
 def _draw_fault(random: Random, at: float, kind: FaultKind) -> Fault:
     duration = max(0.0, random.uniform(*DURATIONS[kind]))
     return Fault(at, kind, duration, target=random.randrange(MAX_CHOICE), detail=random.randrange(MAX_CHOICE))
--- a/stepsail/qualify/injection.py
+++ b/stepsail/qualify/injection.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import socket
+import subprocess
 from collections import Counter
 from collections.abc import Iterator
 from contextlib import contextmanager
 
 from stepsail.loop import Loop
+from stepsail.qualify.abusive_clients import Flood, Stall
+from stepsail.qualify.abusive_process import start_abusive_clients
 from stepsail.qualify.checks import UP
 from stepsail.qualify.faults import Fault, FaultKind
 from stepsail.qualify.instances import Instance
@@ -19,6 +22,8 @@
 KILL_AFTER_TERM = LONGEST_DEADLINE + 0.7
 MIN_AGE_FOR_RECONFIGURATION = 1.0  # s; the platform never reconfigures a younger process
 SILENT_CLIENTS = 30
+STALLED_CLIENTS = 400  # more than an instance with the least memory has places for
+ABUSE_KINDS: list[Stall | Flood] = [*Stall, *Flood]
 SERVER_FAULTS = [fault for fault in ServerFault if fault is not ServerFault.NONE]
 
 
@@ -47,6 +52,7 @@
         self._instances = instances
         self._busy: set[str] = set()  # names of instances whose process is being suspended, ended or started
         self._open_discovery_faults: Counter[FaultKind] = Counter()
+        self._abusive_processes: list[subprocess.Popen[bytes]] = []
 
     def inject(self, fault: Fault) -> None:
         """Inject a fault and end it after its duration; a fault that is not possible now is skipped."""
@@ -68,6 +74,8 @@
                 self._move_discovery(fault)
             case FaultKind.CLIENTS_SAY_NOTHING:
                 self._connect_silent_clients(fault)
+            case FaultKind.CLIENTS_ABUSE:
+                self._start_abusive_clients(fault)
             case _:
                 self._signal_process(fault)
 
@@ -150,6 +158,20 @@
         for connection in connections:
             connection.close()
 
+    def _start_abusive_clients(self, fault: Fault) -> None:
+        instance = self._target_instance(fault)
+        kind = ABUSE_KINDS[fault.detail % len(ABUSE_KINDS)]
+        connections = STALLED_CLIENTS if isinstance(kind, Stall) else 1
+        self._abusive_processes.append(
+            start_abusive_clients(instance.listen, kind, connections, fault.duration, instance.name)
+        )
+
+    def end_abuse(self) -> None:
+        """End all abusive clients."""
+        for process in self._abusive_processes:
+            process.kill()
+            process.wait()
+
     def _signal_process(self, fault: Fault) -> None:
         """Suspend, kill or restart a process; skipped while another such fault affects the same process."""
         instance = self._target_instance(fault)
--- a/stepsail/qualify/instances.py
+++ b/stepsail/qualify/instances.py
@@ -14,12 +14,13 @@
 
 from stepsail.loop import Loop
 from stepsail.qualify.platform_stand_in import RELEASE_STATE, Discovery
-from stepsail.qualify.records import ProcessEvent, ProcessRecord, Records
+from stepsail.qualify.records import MemoryPeak, ProcessEvent, ProcessRecord, Records
 from stepsail.standins.instances import free_address
 
 ROOT = Path(__file__).parents[2]
 DEPLOYMENT_FILE = ROOT / "deploy/balancer.toml"
 BYTES_PER_KIB = 1024
+BYTES_PER_MB = 1_000_000
 OLD_ADDRESS_CLOSES_AFTER = 1.5  # s after discovery moved to a new address, as on the platform
 REQUESTED_ENDS = frozenset((ProcessEvent.TERMINATED, ProcessEvent.KILLED, ProcessEvent.EXITED))
 
@@ -131,9 +132,18 @@
         peak = next((line for line in status.splitlines() if line.startswith("VmHWM:")), "VmHWM: 0 kB")
         return int(peak.split()[1]) * BYTES_PER_KIB
 
+    def record_memory(self) -> None:
+        """Record the most memory that the current process has had, unless it has ended."""
+        if self.process is None or self.process.poll() is not None:
+            return
+        limit = self.limits.memory_mb * BYTES_PER_MB
+        peak = MemoryPeak(self.loop.now(), self.name, self.peak_memory(), limit)
+        self.records.memory_peaks.append(peak)
+
     def kill(self) -> None:
         """Send SIGKILL and wait until the process has ended."""
         assert self.process
+        self.record_memory()
         self._record(ProcessEvent.KILLED)
         self.process.kill()
         self.process.wait()
@@ -141,6 +151,7 @@
     def terminate(self) -> None:
         """Send SIGTERM."""
         assert self.process
+        self.record_memory()
         self._record(ProcessEvent.TERMINATED)
         self.process.send_signal(signal.SIGTERM)
 
--- a/stepsail/qualify/records.py
+++ b/stepsail/qualify/records.py
@@ -117,6 +117,16 @@
     event: ProcessEvent
 
 
+@dataclass(frozen=True, slots=True)
+class MemoryPeak:
+    """The most memory that a process has had resident until a time, and its limit, in bytes."""
+
+    at: float
+    instance: str
+    resident: int
+    limit: int
+
+
 @dataclass(frozen=True, slots=True)
 class Span:
     """A period during which discovery was down or silent."""
@@ -137,6 +147,7 @@
         processes: Starts, signals and exits of processes.
         outages: Periods during which discovery refused connections.
         silences: Periods during which discovery sent nothing on open watches.
+        memory_peaks: Memory of processes, read before they were ended and at the end of the run.
     """
 
     clients: list[ClientRecord] = field(default_factory=list)
@@ -146,3 +157,4 @@
     processes: list[ProcessRecord] = field(default_factory=list)
     outages: list[Span] = field(default_factory=list)
     silences: list[Span] = field(default_factory=list)
+    memory_peaks: list[MemoryPeak] = field(default_factory=list)
--- a/stepsail/qualify/soak.py
+++ b/stepsail/qualify/soak.py
@@ -9,9 +9,9 @@
 from stepsail.loop import Loop, PollDriver
 from stepsail.qualify.checks import Breach, Limits, find_breaches
 from stepsail.qualify.clients import Client
-from stepsail.qualify.faults import draw_faults
+from stepsail.qualify.faults import Fault, draw_abuse, draw_faults
 from stepsail.qualify.injection import FaultInjector
-from stepsail.qualify.instances import Instance
+from stepsail.qualify.instances import LEAST_MEMORY, USUAL_LIMITS, Instance
 from stepsail.qualify.platform_stand_in import Discovery, ReleaseControl, Server
 from stepsail.qualify.records import ClientEnd, Records
 from stepsail.qualify.settings import DRAIN_GRACE, KEY_WINDOW, SETTINGS
@@ -47,12 +47,14 @@
         seconds: Duration of the run.
         instances: Number of instances.
         clients: Number of clients per instance.
+        abuse: Whether other clients break the protocol; the instances then have the least memory.
     """
 
     seed: int
     seconds: float = 20.0
     instances: int = 4
     clients: int = 3
+    abuse: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,6 +125,7 @@
                 discovery,
                 release_control.address,
                 settings,
+                LEAST_MEMORY if self.plan.abuse else USUAL_LIMITS,
             )
             for number in range(self.plan.instances)
         ]
@@ -130,11 +133,13 @@
         try:
             self._run_under_faults()
         finally:
+            self._injector.end_abuse()
             self._kill_processes()
 
     def _kill_processes(self) -> None:
         for instance in self._instances:
             instance.record_unexpected_exit()
+            instance.record_memory()
             if instance.process and instance.process.poll() is None:
                 instance.process.kill()
                 instance.process.wait()
@@ -151,7 +156,7 @@
         tasks = [self._loop.spawn(client.run, name="client") for client in clients]
         self._wait_until_all_serve()
         started_at = self._loop.now()
-        for fault in draw_faults(self.plan.seed, self.plan.seconds):
+        for fault in self._draw_faults():
             self._sleep_until(started_at + fault.at)
             self._loop.spawn(self._injector.inject, fault, name=fault.kind.name)
         self._sleep_until(started_at + self.plan.seconds)
@@ -161,6 +166,11 @@
         for task in tasks:
             task.join(CLIENT_DRAIN_TIME)
 
+    def _draw_faults(self) -> list[Fault]:
+        faults = draw_faults(self.plan.seed, self.plan.seconds)
+        abuse = draw_abuse(self.plan.seed, self.plan.seconds) if self.plan.abuse else []
+        return sorted([*faults, *abuse], key=lambda fault: fault.at)
+
     def _sleep_until(self, at: float) -> None:
         self._loop.sleep(max(0.0, at - self._loop.now()))
 
--- a/tests/incidents/test_abusive_clients.py
+++ b/tests/incidents/test_abusive_clients.py
@@ -27,7 +27,7 @@
     def test(fleet: ProcessFleet) -> None:
         instance = fleet.instances[0]
         started_at = fleet.loop.now()
-        abusive = start_abusive_clients(instance.listen, kind, connections, ABUSE_TIME)
+        abusive = start_abusive_clients(instance.listen, kind, connections, ABUSE_TIME, instance.name)
         try:
             fleet.wait_until(lambda: abusive.poll() is not None, 3 * ABUSE_TIME)
         finally:
--- a/tests/qualify/test_checks.py
+++ b/tests/qualify/test_checks.py
@@ -7,13 +7,14 @@
 import pytest
 
 from stepsail.qualify.checks import Limits, find_breaches, propagation_deadline
-from stepsail.qualify.faults import FaultKind, draw_faults
+from stepsail.qualify.faults import FaultKind, draw_abuse, draw_faults
 from stepsail.qualify.records import (
     Arrival,
     ClientEnd,
     ClientRecord,
     ListChange,
     ListSent,
+    MemoryPeak,
     ProcessEvent,
     ProcessRecord,
     Records,
@@ -138,8 +139,15 @@
     ]
 
 
+def test_more_memory_than_the_limit_is_a_breach() -> None:
+    peaks = [MemoryPeak(3.0, "i0", 32_000_000, 32_000_000), MemoryPeak(4.0, "i0", 32_000_001, 32_000_000)]
+    assert broken_rules(Records(processes=[START], memory_peaks=peaks)) == ["memory"]
+
+
 def test_equal_seeds_draw_equal_faults_and_different_seeds_differ() -> None:
     assert draw_faults(7, 20.0) == draw_faults(7, 20.0) != draw_faults(8, 20.0)
+    assert draw_abuse(7, 20.0) == draw_abuse(7, 20.0) != draw_abuse(8, 20.0)
     kinds = {fault.kind for seed in range(20) for fault in draw_faults(seed, 20.0)}
-    assert kinds == set(FaultKind)
+    abuse = {fault.kind for seed in range(20) for fault in draw_abuse(seed, 20.0)}
+    assert kinds | abuse == set(FaultKind) and abuse == {FaultKind.CLIENTS_ABUSE} and not kinds & abuse
     assert all(0.0 < fault.at < 20.0 and fault.duration >= 0.0 for fault in draw_faults(9, 20.0))
--- a/tests/qualify/test_soak.py
+++ b/tests/qualify/test_soak.py
@@ -27,6 +27,14 @@
     assert not report.breaches, report.breaches[:3]
 
 
+@pytest.mark.parametrize("seed", [2, 5])
+def test_no_rule_is_broken_beside_clients_that_break_the_protocol(tmp_path: Path, seed: int) -> None:
+    plan = SoakPlan(seed, seconds=15.0, instances=3, clients=3, abuse=True)
+    report = run_soak(plan, tmp_path / "soak")
+    assert not report.breaches, report.breaches[:3]
+    assert report.statuses[200] > 300 and report.faults["clients_abuse"] > 1
+
+
 def test_command_reports_each_run_and_rejects_too_many_processes(tmp_path: Path) -> None:
     arguments = ["qualify", "run", "--seconds", "5", "--instances", "2", "--out", str(tmp_path), "--json"]
     result = CliRunner().invoke(main, arguments)
