One body stream for both ends of an HTTP connection

Change: IncomingBodyStream in http/body_stream.py serves both; what differs at the end of a response's body is passed in, and the reader says what an early end of the stream means for a request. Behaviour stays as it was.

--- a/stepsail/http/client_connection.py
+++ b/stepsail/http/client_connection.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 
+from stepsail.http.body_stream import IncomingBodyStream
 from stepsail.http.buffer_budget import BufferAccount, BufferBudget
 from stepsail.http.message import (
     FIRST_FINAL_STATUS,
@@ -40,40 +41,6 @@
     unread_for: float = 0.0
 
 
-class ResponseBodyStream:
-    """Streams the rest of a response's body; the connection's exchange ends when the body does."""
-
-    def __init__(self, connection: ClientConnection) -> None:
-        self.connection = connection
-        self.read_started = False
-        self.done = False
-
-    def read_part(self, timeout: float) -> bytes:
-        """Return the next part of the body, which is empty at the end.
-
-        Raises:
-            TimedOut: No bytes arrived within `timeout` seconds.
-            OSError: The connection failed.
-            Closed: The connection was closed by this process.
-            InvalidMessage: The rest of the response is invalid or truncated.
-        """
-        connection = self.connection
-        self.read_started = True
-        reader = connection.reader
-        while not reader.body and not reader.complete:
-            data = connection.stream.read(timeout)
-            if data:
-                reader.feed(data)
-            else:
-                reader.end()
-        part = reader.take_body()
-        if not part:
-            self.done = True
-            connection.used_at = connection.loop.now()
-            connection.end_exchange()
-        return part
-
-
 class ClientConnection:
     """A connection to a server that carries one exchange at a time.
 
@@ -160,7 +127,7 @@
         if self.reader.complete:
             self.end_exchange()
         else:
-            response.body_stream = ResponseBodyStream(self)
+            response.body_stream = IncomingBodyStream(stream, self.reader, self._end_streamed_exchange)
         return response
 
     def _send_request(
@@ -224,6 +191,10 @@
                 raise
             return data
 
+    def _end_streamed_exchange(self) -> None:
+        self.used_at = self.loop.now()
+        self.end_exchange()
+
     def end_exchange(self) -> None:
         """Decide, at the end of an exchange, whether the connection can be reused."""
         # Bytes after the response answer no request, so a connection that received any is not reused.
--- a/stepsail/http/reader.py
+++ b/stepsail/http/reader.py
@@ -192,11 +192,14 @@
         """Handle the end of the stream.
 
         Raises:
-            TruncatedMessage: The message is not complete.
+            TruncatedMessage: The response is not complete.
+            InvalidMessage: The request is not complete.
         """
         if self.state is BODY_UNTIL_CLOSE:
             self.keep_alive = False
             self._complete()
+        elif self.state is not COMPLETE and self.reads_requests:
+            raise InvalidMessage(400, "the stream ended inside a request")
         elif self.state is not COMPLETE:
             raise TruncatedMessage(400, "the stream ended before the message was complete")
 
--- a/stepsail/http/server_connection.py
+++ b/stepsail/http/server_connection.py
@@ -4,6 +4,7 @@
 
 from enum import Enum
 
+from stepsail.http.body_stream import IncomingBodyStream
 from stepsail.http.buffer_budget import BufferAccount, BufferBudget
 from stepsail.http.message import ConnectionLimits, InvalidMessage, Request
 from stepsail.http.reader import MessageReader
@@ -29,35 +30,6 @@
     UNKNOWN = "more bytes are unread than are read ahead, and the end of its stream may be behind them"
 
 
-class RequestBodyStream:
-    """Streams the rest of a request's body; once reading has begun, only one server can receive it."""
-
-    def __init__(self, connection: ServerConnection) -> None:
-        self.connection = connection
-        self.read_started = False
-        self.done = False
-
-    def read_part(self, timeout: float) -> bytes:
-        """Return the next part of the body, which is empty at the end.
-
-        Raises:
-            TimedOut: No bytes arrived within `timeout` seconds.
-            OSError: The connection failed.
-            Closed: The connection was closed by this process.
-            InvalidMessage: The rest of the request is invalid or truncated.
-        """
-        reader = self.connection.reader
-        self.read_started = True
-        while not reader.body and not reader.complete:
-            data = self.connection.stream.read(timeout)
-            if not data:
-                raise InvalidMessage(400, "the stream ended inside a request")
-            reader.feed(data)
-        part = reader.take_body()
-        self.done = not part
-        return part
-
-
 class ServerConnection:
     """Reads requests from a stream.
 
@@ -135,7 +107,7 @@
         self.account.set(self._request_bytes + len(reader.buffer))
         request = reader.take_request()
         if not reader.complete:
-            request.body_stream = RequestBodyStream(self)
+            request.body_stream = IncomingBodyStream(self.stream, reader)
         return request
 
     def _feed_next(self, deadline: float) -> bool:
@@ -173,7 +145,7 @@
             raise self._abandoned
         if not data:
             if data is not None and self.reader.begun:
-                raise InvalidMessage(400, "the stream ended inside a request")
+                self.reader.end()
             return False
         self.reader.feed(data)
         self._charge_partial()
