Reject a request that is incomplete at its deadline, however fast its bytes arrive

Cause: found by reading. After the deadline, bytes that are there at once were still read, one read after another, so that a client whose bytes never cease could keep its place beyond the 3 s that bad clients are owed. Change: what is read at the deadline may complete the request; if it does not, the client gets 408. Result: a test of a client that sends a byte as soon as the last was read guards this; it passed before too, as on loopback the reader is faster than the sender.

--- a/stepsail/http/server_connection.py
+++ b/stepsail/http/server_connection.py
@@ -123,10 +123,16 @@
                 data = self.stream.read_now(self._read_size())
                 if data is None:
                     continue
-                may_follow = self._feed(data)
-                if may_follow and not self.reader.complete:
+                self._feed(data)
+                if not self.reader.complete:
+                    self._check_deadline(deadline)
                     self.loop.yield_turn()  # holds the permit until the next round
-                return may_follow
+                return True
+
+    def _check_deadline(self, deadline: float) -> None:
+        """Reject a request that is still incomplete at its deadline, however fast its bytes arrive."""
+        if self.loop.now() >= deadline:
+            raise InvalidMessage(408, TOO_SLOW)
 
     def _read_size(self) -> int:
         """Return how many bytes to read of an incomplete request; what follows it is better left unread."""
--- a/tests/endings/test_clients.py
+++ b/tests/endings/test_clients.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import time
 from pathlib import Path
@@ -380,6 +381,29 @@
     PlatformRig(tmp_path, test, [answers()], limits={"sockets": 96})
 
 
+def test_client_that_always_has_bytes_to_send_gets_408_at_its_deadline(tmp_path: Path) -> None:
+    def test(rig: PlatformRig) -> None:
+        client = raw_client(rig)
+        client.sendall(
+            b"POST /record HTTP/1.1\r\nhost: x\r\nx-call-id: s\r\nx-budget-ms: 900\r\n"
+            b"idempotency-key: k\r\ncontent-length: 60000\r\n\r\n"
+        )
+        client.setblocking(False)
+        start = rig.loop.now()
+        received = b""
+        while not received and rig.loop.now() < start + 4.0:
+            with contextlib.suppress(BlockingIOError):
+                client.send(b"b")
+            for _ in range(4):  # the instance reads the byte in this time; the next one follows at once
+                rig.loop.yield_turn()
+            with contextlib.suppress(BlockingIOError):
+                received = client.recv(1000)
+        assert received.startswith(b"HTTP/1.1 408 ") and rig.loop.now() - start < 3.0
+        client.close()
+
+    PlatformRig(tmp_path, test, [answers()])
+
+
 def test_daemon_makes_no_attempt_for_a_reset_client(tmp_path: Path) -> None:
     def test(rig: Rig) -> None:
         client = rig.plain_socket()
