Chunk limits in a module of their own, and plainer names around the buffer budget

Change: http/chunk_limits.py; memory_size, size and reject_request in place of held_bytes, held and abandon_request.

--- a/stepsail/http/buffer_budget.py
+++ b/stepsail/http/buffer_budget.py
@@ -61,16 +61,16 @@
     """The bytes that one connection holds of a budget.
 
     Attributes:
-        held: Number of bytes.
+        size: Number of bytes.
     """
 
-    __slots__ = ("budget", "held")
+    __slots__ = ("budget", "size")
 
     def __init__(self, budget: BufferBudget) -> None:
         self.budget = budget
-        self.held = 0
+        self.size = 0
 
     def set(self, size: int) -> None:
         """Change the number of bytes that the connection holds."""
-        self.budget.used += size - self.held
-        self.held = size
+        self.budget.used += size - self.size
+        self.size = size
--- a/stepsail/http/client_connection.py
+++ b/stepsail/http/client_connection.py
@@ -149,7 +149,7 @@
         while True:
             while not reader.complete and not reader.streaming:
                 self._feed_next(deadline, progress)
-                if reader.held_bytes() > FREE_RESPONSE_BYTES:
+                if reader.memory_size() > FREE_RESPONSE_BYTES:
                     self._wait_for_room(deadline)
             if reader.status >= FIRST_FINAL_STATUS:
                 return
@@ -174,7 +174,7 @@
         Raises:
             TimedOut: There was no room until the deadline.
         """
-        self.account.set(self.reader.held_bytes())
+        self.account.set(self.reader.memory_size())
         while not (self.account.budget.reclaim_for_responses() or self.reader.complete):
             if self.loop.now() >= deadline:
                 raise TimedOut
--- a/stepsail/http/reader.py
+++ b/stepsail/http/reader.py
@@ -7,6 +7,7 @@
 
 import httptools
 
+from stepsail.http.chunk_limits import is_mostly_framing
 from stepsail.http.message import (
     BODYLESS_STATUSES,
     FIRST_FINAL_STATUS,
@@ -21,15 +22,6 @@
 )
 from stepsail.http.strict import body_length, check_head
 
-# Largest number of bytes received per byte of content in a chunked body, beyond FREE_CHUNK_OVERHEAD. This
-# limits attacks with tiny chunks.
-MAX_CHUNK_OVERHEAD = 4
-# Number of bytes that a chunked body may take on the wire in addition to MAX_CHUNK_OVERHEAD times its size.
-FREE_CHUNK_OVERHEAD = 65536
-# Smallest mean size of the chunks of a request in bytes, beyond FREE_CHUNKS. Each chunk costs about the same
-# time however small it is, and clients are not trusted to spend it; servers may stream in small chunks.
-MIN_MEAN_CHUNK = 32
-FREE_CHUNKS = 256
 # Number of bytes of a chunked body that are parsed before the limits on it are checked.
 CHUNKED_PART = 1024
 # Largest number of empty lines that are skipped before a request (RFC 9112 section 2.2).
@@ -110,7 +102,7 @@
         self.parser: Any = None
         self.head_cost = 0  # number of bytes of memory that the head takes once it is read
 
-    def held_bytes(self) -> int:
+    def memory_size(self) -> int:
         """Return about how many bytes of memory the reader holds."""
         return len(self.buffer) + len(self.body) + self.head_cost
 
@@ -306,10 +298,8 @@
             self._complete()
 
     def _exceeds_body_limits(self) -> bool:
-        return (
-            self.body_bytes > self.limits.body_bytes
-            or self.wire_bytes > MAX_CHUNK_OVERHEAD * self.body_bytes + FREE_CHUNK_OVERHEAD
-            or (self.reads_requests and self.chunks > self.body_bytes // MIN_MEAN_CHUNK + FREE_CHUNKS)
+        return self.body_bytes > self.limits.body_bytes or is_mostly_framing(
+            self.reads_requests, self.body_bytes, self.wire_bytes, self.chunks
         )
 
     def _add_body_part(self, part: bytes) -> None:
--- a/stepsail/http/server_connection.py
+++ b/stepsail/http/server_connection.py
@@ -64,7 +64,7 @@
         self.account = BufferAccount(budget or BufferBudget())
         self.partial_reads = partial_reads or Semaphore(loop, 1)
         self._request_bytes = 0  # bytes held for the request that is being answered
-        self._abandoned: InvalidMessage | None = None
+        self._rejection: InvalidMessage | None = None
         self._state_unknown_until = 0.0
         self.first_request_deadline = (
             loop.now() + limits.first_request_timeout if limits.first_request_timeout else 0.0
@@ -75,7 +75,7 @@
 
         Raises:
             InvalidMessage: The request is invalid, truncated, exceeds a limit or arrived too slowly, or it
-                was abandoned.
+                was rejected to make room.
             OSError: The connection failed.
         """
         try:
@@ -87,7 +87,7 @@
         reader = self.reader
         if reader.complete:
             reader.reset()
-        self.account.set(reader.held_bytes())
+        self.account.set(reader.memory_size())
         if reader.buffer:
             # The bytes of this request are here already, so that reading it would not wait. A client that
             # pipelines would otherwise keep the loop until all that it has sent is answered.
@@ -106,7 +106,7 @@
             if not self._feed_next(deadline):
                 return None
         # An attempt holds the request once more, as it is encoded for the server.
-        self._request_bytes = reader.held_bytes() - len(reader.buffer) + len(reader.body)
+        self._request_bytes = reader.memory_size() - len(reader.buffer) + len(reader.body)
         self.account.set(self._request_bytes + len(reader.buffer))
         request = reader.take_request()
         if not reader.complete:
@@ -118,7 +118,7 @@
         if self.partial_since is None or self.half_closed:
             return self._feed(self._read(deadline))
         while True:
-            self._wait_for_rest(deadline)
+            self._wait_for_more(deadline)
             with self.partial_reads:
                 data = self.stream.read_now(self._read_size())
                 if data is None:
@@ -143,14 +143,14 @@
             return min(READ_SIZE, reader.remaining_bytes)
         return READ_SIZE
 
-    def _wait_for_rest(self, deadline: float) -> None:
+    def _wait_for_more(self, deadline: float) -> None:
         """Wait for more bytes of an incomplete request.
 
         Raises:
-            InvalidMessage: None came by the deadline, or the request was abandoned.
+            InvalidMessage: None came by the deadline, or the request was rejected.
         """
-        if self._abandoned is not None:
-            raise self._abandoned
+        if self._rejection is not None:
+            raise self._rejection
         try:
             self.stream.wait_readable(max(0.0, deadline - self.loop.now()))
         except TimedOut:
@@ -159,8 +159,8 @@
                 raise InvalidMessage(408, TOO_SLOW) from None
 
     def _feed(self, data: bytes | None) -> bool:
-        if self._abandoned is not None:
-            raise self._abandoned
+        if self._rejection is not None:
+            raise self._rejection
         if not data:
             if data is not None and self.reader.begun:
                 self.reader.end()
@@ -180,10 +180,10 @@
             return
         if self.partial_since is None:
             self.partial_since = self.loop.now()
-        self.account.set(reader.held_bytes())
+        self.account.set(reader.memory_size())
         has_room = self.account.budget.reclaim_for_requests()
-        if self._abandoned is not None:
-            raise self._abandoned
+        if self._rejection is not None:
+            raise self._rejection
         if not has_room:
             raise InvalidMessage(503, NO_ROOM)
 
@@ -247,9 +247,9 @@
             self._state_unknown_until = self.loop.now() + UNKNOWN_STATE_TIME
         return ClientState.UNKNOWN if self.loop.now() < self._state_unknown_until else ClientState.CONNECTED
 
-    def abandon_request(self, error: InvalidMessage) -> None:
+    def reject_request(self, error: InvalidMessage) -> None:
         """Free the received part of a request; the task that reads it gets `error` at its next turn."""
-        self._abandoned = error
+        self._rejection = error
         self.partial_since = None
         self.discard()
 
--- a/stepsail/proxy/connection_reaper.py
+++ b/stepsail/proxy/connection_reaper.py
@@ -43,7 +43,7 @@
     def reject_partial_request(self) -> None:
         """Free the received part of the request, and have the connection's task answer it with a 503."""
         error = InvalidMessage(503, NO_ROOM)
-        self.connection.abandon_request(error)
+        self.connection.reject_request(error)
         if self.task.current_wait:
             self.task.current_wait.throw(error)
 
@@ -99,7 +99,7 @@
             The number of bytes that are still to be freed; 0 or less if there are none.
         """
         partial = sorted(self._partial_requests(), key=itemgetter(1))
-        held = {stream: self._pending(stream).connection.account.held for stream, _ in partial}
+        held = {stream: self._pending(stream).connection.account.size for stream, _ in partial}
         average = sum(held.values()) / max(1, len(held))
         for stream, _ in partial:
             if excess > 0 and held[stream] >= average:
--- a/stepsail/proxy/response_writer.py
+++ b/stepsail/proxy/response_writer.py
@@ -209,7 +209,7 @@
         for stream, reader in tuple(self.slow_readers.items()):
             if excess <= 0 or reader.since > cutoff:
                 return
-            self.log.warning("client_read_too_slowly", request=reader.request_id, held_bytes=reader.size)
+            self.log.warning("client_read_too_slowly", request=reader.request_id, response_bytes=reader.size)
             stream.abort()
             del self.slow_readers[stream]
             excess -= reader.size
--- a/stepsail/proxy/upstream_attempt.py
+++ b/stepsail/proxy/upstream_attempt.py
@@ -154,7 +154,7 @@
         """Charge a response that waits to be written, unless the request has its final answer already."""
         account = self.in_flight.account
         if account is not None and not self.in_flight.finished:
-            account.set(account.held + len(response.body))
+            account.set(account.size + len(response.body))
 
     def _stream_response(self, response: Response, connection: ClientConnection) -> ExchangeEnd:
         """Forward a large response to the client as it arrives.
--- a/tests/http/test_reader.py
+++ b/tests/http/test_reader.py
@@ -12,8 +12,9 @@
 from hypothesis import strategies as st
 
 from stepsail.http import ConnectionLimits, InvalidMessage, Request, Response, encode_request, encode_response
+from stepsail.http.chunk_limits import FREE_CHUNKS, MIN_MEAN_CHUNK
 from stepsail.http.message import end_to_end
-from stepsail.http.reader import FREE_CHUNKS, MIN_MEAN_CHUNK, MessageReader
+from stepsail.http.reader import MessageReader
 
 LIMITS = ConnectionLimits(head_bytes=400, body_bytes=100)
 HOST_LINE = b"host: x\r\n"
