--- a/stepsail/proxy/response_writer.py
+++ b/stepsail/proxy/response_writer.py
@@ -190,7 +190,7 @@
     def _write_response(
         self, stream: Stream, in_flight: InFlightRequest, data: bytes, write_timeout: float
     ) -> None:
-        """Write a response; charge the bytes that the system does not take at once."""
+        """Write a response; if the system does not take all of it at once, its client is a slow reader."""
         sent = stream.write_now(data)
         if sent == len(data):
             return
