--- a/tests/incidents/test_abusive_clients.py
+++ b/tests/incidents/test_abusive_clients.py
@@ -13,12 +13,11 @@
 from stepsail.qualify.abusive_clients import Flood, Stall
 from stepsail.qualify.abusive_process import start_abusive_clients
 from stepsail.qualify.checks import find_crashes, find_unanswered
-from stepsail.qualify.instances import LEAST_MEMORY
+from stepsail.qualify.instances import BYTES_PER_MB, LEAST_MEMORY
 
-BYTES_PER_MB = 1_000_000
 STALLED_CLIENTS = 600  # more than an instance has places for
 FLOODING_CLIENTS = 300
-UNREADING_CLIENTS = 320  # fewer than an instance has places for
+UNREADING_CLIENTS = 320  # about as many as an instance has places for
 STALLS_IN_REQUESTS = [stall for stall in Stall if stall is not Stall.UNREAD_RESPONSES]
 ABUSE_TIME = 4.0  # s
 LEAST_SHARE_SERVED = 0.5  # of the other clients' requests
